--- /dev/null
+++ b/sidecar/src/backend.rs
@@ -0,0 +1,145 @@
+//! Connections to backend servers: opened as needed, kept while idle, one request at a time on each.
+
+use crate::counters::{Counters, count};
+use cometcroft::UpstreamId;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::io;
+use std::mem::MaybeUninit;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::time::{Instant, timeout_at};
+
+/// A connection that is in use; it counts against the limit until it is dropped or put back.
+#[derive(Debug)]
+pub struct Lease {
+    /// The connection.
+    pub stream: TcpStream,
+    address: SocketAddr,
+    _place: Place,
+}
+
+#[derive(Debug)]
+struct Idle {
+    stream: TcpStream,
+    address: SocketAddr,
+    since: Instant,
+}
+
+/// All connections to backend servers.
+#[derive(Debug)]
+pub struct Pool {
+    idle: RefCell<BTreeMap<UpstreamId, Vec<Idle>>>,
+    taken: Cell<usize>,
+    most: usize,
+    keep: Duration,
+    connect_timeout: Duration,
+    counters: Rc<Counters>,
+}
+
+impl Pool {
+    /// A pool of at most `most` connections, to machines that close what stands idle for `idle`.
+    pub fn new(most: usize, idle: Duration, connect_timeout: Duration, counters: Rc<Counters>) -> Rc<Pool> {
+        // Danger: a request that crosses the other side's close ends as a reset that may have run, so none
+        // is written to a connection near its idle time.
+        let keep = idle.saturating_sub((idle / 8).max(Duration::from_millis(300)));
+        Rc::new(Pool { idle: RefCell::default(), taken: Cell::new(0), most, keep, connect_timeout, counters })
+    }
+
+    /// A connection to a backend server: the one used last, if any is sound, or a new one.
+    pub async fn get(
+        self: &Rc<Self>,
+        to: UpstreamId,
+        address: SocketAddr,
+        until: Instant,
+    ) -> io::Result<Lease> {
+        if let Some(stream) = self.reuse(to, address) {
+            count(&self.counters.backend_reused);
+            return Ok(Lease { stream, address, _place: Place::take(self) });
+        }
+        if self.taken.get() + self.idle_count() >= self.most && !self.evict() {
+            return Err(io::Error::other("too many connections"));
+        }
+        // The place is taken before the wait, or many waiting at once would pass the limit.
+        let place = Place::take(self);
+        let until = until.min(Instant::now() + self.connect_timeout);
+        let stream = timeout_at(until, TcpStream::connect(address)).await??;
+        stream.set_nodelay(true)?;
+        count(&self.counters.backend_connections);
+        Ok(Lease { stream, address, _place: place })
+    }
+
+    fn reuse(&self, to: UpstreamId, address: SocketAddr) -> Option<TcpStream> {
+        let mut idle = self.idle.borrow_mut();
+        let kept = idle.get_mut(&to)?;
+        while let Some(Idle { stream, address: at, since }) = kept.pop() {
+            if at != address || since.elapsed() >= self.keep {
+                continue;
+            }
+            if quiet(&stream) {
+                return Some(stream);
+            }
+            count(&self.counters.backend_stale);
+        }
+        None
+    }
+
+    /// Keeps a connection whose answer has been read whole.
+    pub fn put(&self, to: UpstreamId, lease: Lease) {
+        let Lease { stream, address, .. } = lease;
+        let idle = Idle { stream, address, since: Instant::now() };
+        self.idle.borrow_mut().entry(to).or_default().push(idle);
+    }
+
+    /// Closes the idle connections to a backend server.
+    pub fn close_idle(&self, to: UpstreamId) {
+        self.idle.borrow_mut().remove(&to);
+    }
+
+    /// Closes what has stood idle for too long.
+    pub fn sweep(&self) {
+        let mut idle = self.idle.borrow_mut();
+        for kept in idle.values_mut() {
+            kept.retain(|c| c.since.elapsed() < self.keep);
+        }
+        idle.retain(|_, kept| !kept.is_empty());
+    }
+
+    fn idle_count(&self) -> usize {
+        self.idle.borrow().values().map(Vec::len).sum()
+    }
+
+    /// Closes the connection that has stood idle longest.
+    fn evict(&self) -> bool {
+        let mut idle = self.idle.borrow_mut();
+        let oldest = idle.iter_mut().filter(|(_, kept)| !kept.is_empty()).min_by_key(|(_, k)| k[0].since);
+        oldest.map(|(_, kept)| kept.remove(0)).is_some()
+    }
+}
+
+/// A place among the connections in use, given back when dropped.
+#[derive(Debug)]
+struct Place(Rc<Pool>);
+
+impl Place {
+    fn take(pool: &Rc<Pool>) -> Place {
+        pool.taken.set(pool.taken.get() + 1);
+        Place(pool.clone())
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.0.taken.set(self.0.taken.get() - 1);
+    }
+}
+
+/// Neither its end nor bytes that nobody asked for have come. The runtime may not have heard of them yet, so
+/// the socket itself is asked.
+fn quiet(stream: &TcpStream) -> bool {
+    let mut byte = [MaybeUninit::uninit()];
+    let peeked = socket2::SockRef::from(stream).peek(&mut byte);
+    matches!(peeked, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+}
--- /dev/null
+++ b/sidecar/src/config.rs
@@ -0,0 +1,95 @@
+//! What the sidecar is told at its start: the environment and the file that `LB_CONFIG` names.
+
+use cometcroft::Settings;
+use cometcroft_settings::{Field, Sockets, hash, read_settings, read_sockets};
+use serde_json::Value;
+use std::fmt;
+use std::net::SocketAddr;
+
+/// A field of the configuration that is missing or makes no sense.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ConfigError {
+    /// Which field, or variable of the environment.
+    pub field: String,
+    /// What is wrong with it.
+    pub reason: String,
+}
+
+impl fmt::Display for ConfigError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.field, self.reason)
+    }
+}
+
+impl std::error::Error for ConfigError {}
+
+fn bad(field: &str, reason: impl fmt::Display) -> ConfigError {
+    // One line, whatever a parser had to say.
+    ConfigError { field: field.to_owned(), reason: reason.to_string().replace('\n', " ") }
+}
+
+/// The configuration of one sidecar.
+#[derive(Debug, Clone)]
+pub struct Config {
+    /// Its name.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Where discovery answers.
+    pub discovery: SocketAddr,
+    /// For random numbers.
+    pub seed: u64,
+    /// File descriptors that it may hold.
+    pub sockets: usize,
+    /// The list of backend servers as last held, in discovery's form.
+    pub known: Value,
+    /// What the module is told.
+    pub settings: Settings,
+    /// The values that load reports hold.
+    pub fields: Vec<Field>,
+    /// What the sockets need of the settings.
+    pub net: Sockets,
+}
+
+impl Config {
+    /// Reads the environment through `var`, and the file that it names.
+    pub fn load(var: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
+        let path = var("LB_CONFIG").ok_or_else(|| bad("LB_CONFIG", "is not set"))?;
+        let text = std::fs::read_to_string(&path).map_err(|e| bad("LB_CONFIG", e))?;
+        Config::parse(&text, var)
+    }
+
+    /// Reads the configuration's text; what the environment says goes before it.
+    pub fn parse(text: &str, var: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
+        let value: Value = serde_json::from_str(text).map_err(|e| bad("LB_CONFIG", e))?;
+        let told = |name: &str, field: &str| -> Result<String, ConfigError> {
+            let file = || value.get(field).and_then(Value::as_str).map(str::to_owned);
+            var(name).or_else(file).ok_or_else(|| bad(field, "is missing"))
+        };
+        let address = |name: &str, field: &str| -> Result<SocketAddr, ConfigError> {
+            told(name, field)?.parse().map_err(|e| bad(field, e))
+        };
+        let seed = value.get("seed").and_then(Value::as_str).ok_or_else(|| bad("seed", "is missing"))?;
+        let settings = value.get("settings").ok_or_else(|| bad("settings", "is missing"))?;
+        let (mut module, fields) = read_settings(settings).map_err(|e| bad("settings", e))?;
+        // The simulator's clients may be deaf to advice; on sockets any refusal may carry `Retry-After`,
+        // so the module is asked for it: who is denied is told when to come back.
+        module.limits.retry_after = true;
+        module.validate().map_err(|e| bad("settings", e))?;
+        let sockets = value.pointer("/limits/sockets").and_then(Value::as_u64).unwrap_or(1024);
+        if sockets < 64 {
+            return Err(bad("limits.sockets", "must be at least 64"));
+        }
+        Ok(Config {
+            name: told("LB_NAME", "name")?,
+            listen: address("LB_LISTEN", "listen")?,
+            discovery: address("LB_DISCOVERY", "discovery")?,
+            seed: u64::from_str_radix(seed, 16).unwrap_or_else(|_| hash(seed)),
+            sockets: sockets.min(1 << 20) as usize,
+            known: value.get("known").cloned().unwrap_or(Value::Null),
+            settings: module,
+            fields,
+            net: read_sockets(settings).map_err(|e| bad("settings", e))?,
+        })
+    }
+}
--- /dev/null
+++ b/sidecar/src/counters.rs
@@ -0,0 +1,94 @@
+//! What a sidecar takes in, sends and answers, counted; and invariants, counted in release builds.
+
+use std::cell::Cell;
+
+macro_rules! counters {
+    ($($(#[$doc:meta])* $name:ident,)*) => {
+        /// The counters of one sidecar.
+        #[derive(Debug, Default)]
+        pub struct Counters { $($(#[$doc])* pub $name: Cell<u64>,)* }
+
+        impl Counters {
+            /// All counters as one line of JSON.
+            pub fn json(&self) -> String {
+                let pairs = [$((stringify!($name), self.$name.get()),)*];
+                let pairs = pairs.map(|(name, count)| format!("\"{name}\":{count}"));
+                format!("{{{}}}", pairs.join(","))
+            }
+        }
+    };
+}
+
+counters! {
+    /// Client connections accepted.
+    frontend_connections,
+    /// Connections that could not be accepted.
+    accept_failures,
+    /// Idle client connections closed to make room.
+    frontend_evicted,
+    /// Requests rejected as malformed or oversized, never dispatched.
+    bad_requests,
+    /// Sessions taken in.
+    sessions,
+    /// Sessions answered with a backend server's answer.
+    served,
+    /// Sessions denied.
+    denied,
+    /// Sessions answered as failed.
+    failed,
+    /// Sessions whose client left first.
+    withdrawn,
+    /// Sessions that the hard answer timer ended.
+    overdue,
+    /// Dispatches begun.
+    dispatches,
+    /// Dispatches answered with 200.
+    dispatch_ok,
+    /// Dispatches answered with an error.
+    dispatch_error,
+    /// Dispatches turned away unexamined.
+    dispatch_full,
+    /// Dispatches that got no answer in time.
+    dispatch_timeout,
+    /// Dispatches that could not connect.
+    dispatch_unconnected,
+    /// Dispatches whose connection broke.
+    dispatch_reset,
+    /// Dispatches given up by the module.
+    dispatch_cancelled,
+    /// Dispatches of sessions that were over.
+    dispatch_moot,
+    /// Dispatches stopped before their first byte as their backend server drains.
+    dispatch_barred,
+    /// Connections opened to backend servers.
+    backend_connections,
+    /// Dispatches that went over a connection used before.
+    backend_reused,
+    /// Idle connections found closed or with unread bytes.
+    backend_stale,
+    /// Probes sent.
+    probes,
+    /// Probes that brought no report.
+    probe_failures,
+    /// Discovery calls.
+    discovery_calls,
+    /// Discovery calls that failed.
+    discovery_failures,
+    /// Discovery answers that could not be read.
+    discovery_bad,
+    /// Invariants found broken.
+    invariants_broken,
+}
+
+/// Adds one.
+pub fn count(counter: &Cell<u64>) {
+    counter.set(counter.get().saturating_add(1));
+}
+
+/// Checks what must hold: asserted in debug builds, counted in release builds.
+pub fn invariant(counters: &Counters, holds: bool, what: &str) {
+    debug_assert!(holds, "invariant broken: {what}");
+    if !holds {
+        count(&counters.invariants_broken);
+    }
+}
--- /dev/null
+++ b/sidecar/src/dispatch.rs
@@ -0,0 +1,137 @@
+//! One attempt over HTTP: a connection, the request written whole, the answer read whole, and what its end
+//! says about whether the request has run.
+
+use crate::backend::Pool;
+use crate::counters::{Counters, count};
+use crate::discovery::Directory;
+use crate::http::client::{self, Answer, Exchange};
+use crate::http::server::Request;
+use crate::http::{Fault, MAX_BODY};
+use crate::probe;
+use crate::session::{Carrier, Ended, Later, Probed};
+use bytes::Bytes;
+use cometcroft::{Outcome, UpstreamId};
+use cometcroft_settings::Field;
+use std::cell::Cell;
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::{Instant, timeout_at};
+
+/// Brings dispatches and probes to backend servers over HTTP.
+#[derive(Clone)]
+pub struct HttpCarrier {
+    /// Connections.
+    pub pool: Rc<Pool>,
+    /// Where the backend servers are, and which of them drain.
+    pub directory: Rc<Directory>,
+    /// The values that load reports hold.
+    pub fields: Rc<[Field]>,
+    /// What is counted.
+    pub counters: Rc<Counters>,
+}
+
+impl Carrier for HttpCarrier {
+    type Payload = Rc<Request>;
+    type Answer = Answer;
+
+    fn dispatch(&self, to: UpstreamId, payload: Rc<Request>, timeout: Duration) -> Later<Ended<Answer>> {
+        let carrier = self.clone();
+        Box::pin(async move { carrier.attempt(to, &payload, Instant::now() + timeout).await })
+    }
+
+    fn probe(&self, to: UpstreamId) -> Later<Probed> {
+        let carrier = self.clone();
+        Box::pin(async move { probe::ask(&carrier, to).await })
+    }
+
+    fn close_idle(&self, to: UpstreamId) {
+        self.pool.close_idle(to);
+    }
+}
+
+/// How far an attempt has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Stage {
+    /// Its last byte has not been written: the backend server can't have begun it.
+    Unwritten,
+    /// It has been written whole: it may have run.
+    Written,
+}
+
+/// What an attempt that got no answer proves. `late`: our time for it ran out, else its connection broke.
+pub fn without_answer(stage: Stage, late: bool) -> Outcome {
+    match (stage, late) {
+        (Stage::Unwritten, _) => Outcome::ConnectFailed,
+        (Stage::Written, true) => Outcome::Timeout,
+        (Stage::Written, false) => Outcome::Reset,
+    }
+}
+
+/// What an answer means.
+pub fn outcome(answer: &Answer) -> Outcome {
+    match answer.status {
+        200 => Outcome::Ok,
+        _ if answer.rejected() => Outcome::Full,
+        _ => Outcome::Error,
+    }
+}
+
+impl HttpCarrier {
+    async fn attempt(&self, to: UpstreamId, request: &Request, ends: Instant) -> Ended<Answer> {
+        let stage = Cell::new(Stage::Unwritten);
+        let message = || client::forward(request, ends.saturating_duration_since(Instant::now()));
+        let answered = timeout_at(ends, self.exchange(to, message, ends, true, &stage)).await;
+        match answered {
+            Ok(Ok(answer)) => {
+                let report = answer.report().and_then(|text| probe::report(text, &self.fields));
+                Ended { outcome: outcome(&answer), report, answer: Some(answer) }
+            }
+            Ok(Err(_)) => Ended { outcome: without_answer(stage.get(), false), report: None, answer: None },
+            Err(_) => Ended { outcome: without_answer(stage.get(), true), report: None, answer: None },
+        }
+    }
+
+    /// One request and its answer. Whatever ends it early drops the connection and so closes it.
+    pub(crate) async fn exchange(
+        &self,
+        to: UpstreamId,
+        message: impl FnOnce() -> Bytes,
+        ends: Instant,
+        bound: bool,
+        stage: &Cell<Stage>,
+    ) -> io::Result<Answer> {
+        let address = self.directory.address(to).ok_or(io::ErrorKind::AddrNotAvailable)?;
+        let mut lease = self.pool.get(to, address, ends).await?;
+        // Danger: the notice of a drain may have come while the connection was being made; the grace is
+        // counted to the first byte, whenever the module decided.
+        if bound && !self.directory.open(to, Instant::now()) {
+            count(&self.counters.dispatch_barred);
+            return Err(io::ErrorKind::ConnectionAborted.into());
+        }
+        lease.stream.write_all(&message()).await?;
+        stage.set(Stage::Written);
+        let mut exchange = Exchange::new(MAX_BODY);
+        let answer = read_answer(&mut lease.stream, &mut exchange).await?;
+        if exchange.reusable() {
+            self.pool.put(to, lease);
+        }
+        Ok(answer)
+    }
+}
+
+/// Reads one whole answer; an end before that is an error.
+pub(crate) async fn read_answer(stream: &mut TcpStream, exchange: &mut Exchange) -> io::Result<Answer> {
+    let bad = |fault: Fault| io::Error::new(io::ErrorKind::InvalidData, format!("{fault:?}"));
+    loop {
+        let ended = stream.read_buf(exchange.buffer()).await? == 0;
+        if let Some(answer) = exchange.step(ended).map_err(bad)? {
+            return Ok(answer);
+        }
+        if ended {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+    }
+}
--- /dev/null
+++ b/sidecar/src/http/client.rs
@@ -0,0 +1,131 @@
+//! The side of a connection towards a backend server or discovery: one request out, one answer in.
+
+use super::message::{Body, Fault, Headers, take_head};
+use super::server::Request;
+use bytes::{BufMut, Bytes, BytesMut};
+use std::time::Duration;
+
+/// A whole answer.
+#[derive(Debug, Clone)]
+pub struct Answer {
+    /// Its status.
+    pub status: u16,
+    /// Its header lines.
+    pub headers: Headers,
+    /// Its body.
+    pub body: Bytes,
+}
+
+impl Answer {
+    /// The sender says that it has not run the request.
+    pub fn rejected(&self) -> bool {
+        matches!(self.status, 503 | 504) && self.headers.lists("x-rejected", "1")
+    }
+
+    /// The load report that came along.
+    pub fn report(&self) -> Option<&Bytes> {
+        self.headers.single("x-load-report").ok().flatten()
+    }
+}
+
+/// Reads the answer to one request.
+#[derive(Debug)]
+pub struct Exchange {
+    buffer: BytesMut,
+    scanned: usize,
+    head: Option<(u16, Headers, Body)>,
+    most: usize,
+    keep: bool,
+}
+
+impl Exchange {
+    /// An exchange whose answer holds no more than `most` bytes of body.
+    pub fn new(most: usize) -> Exchange {
+        Exchange { buffer: BytesMut::with_capacity(1024), scanned: 0, head: None, most, keep: false }
+    }
+
+    /// The buffer that bytes are to be read into.
+    pub fn buffer(&mut self) -> &mut BytesMut {
+        &mut self.buffer
+    }
+
+    /// Looks at what has come. `ended`: no more bytes will come.
+    pub fn step(&mut self, ended: bool) -> Result<Option<Answer>, Fault> {
+        while self.head.is_none() {
+            let Some((line, headers)) = take_head(&mut self.buffer, &mut self.scanned)? else {
+                return Ok(None);
+            };
+            let rest = line.strip_prefix(b"HTTP/1.").ok_or(Fault::Malformed)?;
+            let status = rest.get(2..5).filter(|_| matches!(rest.first(), Some(b'0' | b'1')));
+            let status = status.filter(|s| rest[1] == b' ' && s.iter().all(u8::is_ascii_digit));
+            let status = status.ok_or(Fault::Malformed)?.iter().fold(0, |n, d| n * 10 + u16::from(d - b'0'));
+            // Interim answers come before the one that counts.
+            if (100..200).contains(&status) {
+                continue;
+            }
+            let framed = Body::framed(&headers, self.most)?;
+            self.keep = rest[0] == b'1' && !headers.lists("connection", "close") && framed.is_some();
+            let body = match framed {
+                _ if matches!(status, 204 | 304) => Body::Length(0),
+                Some(body) => body,
+                None => Body::UntilEnd,
+            };
+            self.head = Some((status, headers, body));
+        }
+        let Some((_, _, body)) = &mut self.head else { return Ok(None) };
+        let Some(body) = body.take(&mut self.buffer, ended, self.most)? else { return Ok(None) };
+        Ok(self.head.take().map(|(status, headers, _)| Answer { status, headers, body }))
+    }
+
+    /// The connection may carry another request: the answer kept it open and nothing came after it.
+    pub fn reusable(&self) -> bool {
+        self.keep && self.buffer.is_empty() && self.head.is_none()
+    }
+}
+
+/// Headers that concern one connection only, or that are written anew.
+const OWN: [&str; 10] = [
+    "connection",
+    "keep-alive",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "proxy-connection",
+    "content-length",
+    "expect",
+    "x-budget",
+];
+
+/// The request as it goes to a backend server that will be waited for so long.
+pub fn forward(request: &Request, wait: Duration) -> Bytes {
+    let mut out = BytesMut::with_capacity(512 + request.body.len());
+    out.put_slice(&request.method);
+    out.put_u8(b' ');
+    out.put_slice(&request.target);
+    out.put_slice(b" HTTP/1.1\r\n");
+    for (name, value) in request.headers.iter() {
+        let named = std::str::from_utf8(name).unwrap_or_default();
+        if OWN.iter().any(|own| own.eq_ignore_ascii_case(named)) || request.headers.lists("connection", named)
+        {
+            continue;
+        }
+        out.put_slice(name);
+        out.put_slice(b": ");
+        out.put_slice(value);
+        out.put_slice(b"\r\n");
+    }
+    let length = request.body.len();
+    out.put_slice(format!("X-Budget: {}u\r\n", wait.as_micros()).as_bytes());
+    if length > 0 || request.method != "GET" {
+        out.put_slice(format!("Content-Length: {length}\r\n").as_bytes());
+    }
+    out.put_slice(b"\r\n");
+    out.put_slice(&request.body);
+    out.freeze()
+}
+
+/// A plain GET.
+pub fn get(target: &str, host: &str) -> Bytes {
+    Bytes::from(format!("GET {target} HTTP/1.1\r\nHost: {host}\r\n\r\n"))
+}
--- /dev/null
+++ b/sidecar/src/http/server.rs
@@ -0,0 +1,212 @@
+//! The frontend's side of a connection: requests come in, one answer to each goes out.
+
+use super::message::{Body, Fault, Headers, MAX_BODY, take_head};
+use bytes::{BufMut, Bytes, BytesMut};
+use std::time::Duration;
+
+/// A request, whole.
+#[derive(Debug, Clone)]
+pub struct Request {
+    /// Its method.
+    pub method: Bytes,
+    /// Its path and query, as they came.
+    pub target: Bytes,
+    /// Its header lines.
+    pub headers: Headers,
+    /// Its body.
+    pub body: Bytes,
+}
+
+impl Request {
+    /// The path without the query.
+    pub fn path(&self) -> &[u8] {
+        self.target.split(|&b| b == b'?').next().unwrap_or_default()
+    }
+
+    /// The request's class by name: the first part of its path.
+    pub fn class(&self) -> &[u8] {
+        self.path().split(|&b| b == b'/').nth(1).unwrap_or_default()
+    }
+
+    /// The time that the client waits, from the moment it sent the request.
+    pub fn budget(&self) -> Result<Duration, Fault> {
+        let value = self.headers.single("x-budget")?.ok_or(Fault::Malformed)?;
+        let text = std::str::from_utf8(value).map_err(|_| Fault::Malformed)?;
+        let (number, unit) = text.split_at_checked(text.len().saturating_sub(1)).ok_or(Fault::Malformed)?;
+        let scale = match unit {
+            "m" => 1e-3,
+            "u" => 1e-6,
+            _ => return Err(Fault::Malformed),
+        };
+        // Danger: a float's grammar also takes signs, exponents and 'inf'.
+        if !number.bytes().all(|b| b.is_ascii_digit() || b == b'.') {
+            return Err(Fault::Malformed);
+        }
+        let seconds = number.parse::<f64>().map_err(|_| Fault::Malformed)? * scale;
+        if seconds <= 0.0 {
+            return Err(Fault::Malformed);
+        }
+        Ok(Duration::from_secs_f64(seconds.min(3600.0)))
+    }
+}
+
+/// What a connection has for its driver.
+#[derive(Debug)]
+pub enum Step {
+    /// Nothing until more bytes come.
+    More,
+    /// A request that is owed an answer before the next one is looked at.
+    Request(Request),
+    /// The client waits for leave to send its body: these bytes give it.
+    Continue(&'static [u8]),
+    /// What came can't be a request: it is to be answered so, and the connection closed.
+    Reject(Status),
+}
+
+/// How a request is answered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[allow(missing_docs)]
+pub enum Status {
+    Ok,
+    BadRequest,
+    NotFound,
+    TooLarge,
+    HeadTooLarge,
+    BadGateway,
+    Unavailable,
+    GatewayTimeout,
+}
+
+impl Status {
+    fn line(self) -> &'static str {
+        match self {
+            Status::Ok => "200 OK",
+            Status::BadRequest => "400 Bad Request",
+            Status::NotFound => "404 Not Found",
+            Status::TooLarge => "413 Content Too Large",
+            Status::HeadTooLarge => "431 Request Header Fields Too Large",
+            Status::BadGateway => "502 Bad Gateway",
+            Status::Unavailable => "503 Service Unavailable",
+            Status::GatewayTimeout => "504 Gateway Timeout",
+        }
+    }
+}
+
+impl From<Fault> for Status {
+    fn from(fault: Fault) -> Status {
+        match fault {
+            Fault::Malformed => Status::BadRequest,
+            Fault::HeadTooLong => Status::HeadTooLarge,
+            Fault::BodyTooLong => Status::TooLarge,
+        }
+    }
+}
+
+#[derive(Debug)]
+enum Phase {
+    Head,
+    Body(Box<(Request, Body)>),
+    /// A request has been handed out and is owed an answer.
+    Owed,
+    Closed,
+}
+
+/// One client connection.
+#[derive(Debug)]
+pub struct Connection {
+    buffer: BytesMut,
+    scanned: usize,
+    phase: Phase,
+    keep: bool,
+}
+
+impl Default for Connection {
+    fn default() -> Connection {
+        Connection { buffer: BytesMut::new(), scanned: 0, phase: Phase::Head, keep: true }
+    }
+}
+
+impl Connection {
+    /// The buffer that bytes are to be read into.
+    pub fn buffer(&mut self) -> &mut BytesMut {
+        &mut self.buffer
+    }
+
+    /// Nothing of a request has come yet.
+    pub fn idle(&self) -> bool {
+        matches!(self.phase, Phase::Head) && self.buffer.is_empty()
+    }
+
+    /// No further request is taken.
+    pub fn closed(&self) -> bool {
+        matches!(self.phase, Phase::Closed)
+    }
+
+    /// So much lies unread that no more should be read until the request at hand is answered.
+    pub fn full(&self) -> bool {
+        self.buffer.len() >= MAX_BODY
+    }
+
+    /// Looks at what has come.
+    pub fn step(&mut self) -> Step {
+        match self.try_step() {
+            Ok(step) => step,
+            Err(fault) => {
+                self.phase = Phase::Closed;
+                self.keep = false;
+                Step::Reject(fault.into())
+            }
+        }
+    }
+
+    fn try_step(&mut self) -> Result<Step, Fault> {
+        if let Phase::Head = self.phase {
+            let Some((line, headers)) = take_head(&mut self.buffer, &mut self.scanned)? else {
+                return Ok(Step::More);
+            };
+            let mut words = line.split(|&b| b == b' ');
+            let (method, target, version) = match (words.next(), words.next(), words.next(), words.next()) {
+                (Some(m), Some(t), Some(v), None) if !m.is_empty() => (m, t, v),
+                _ => return Err(Fault::Malformed),
+            };
+            if !method.iter().all(u8::is_ascii_uppercase) || !target.starts_with(b"/") {
+                return Err(Fault::Malformed);
+            }
+            let lasting = match version {
+                b"HTTP/1.1" => true,
+                b"HTTP/1.0" => headers.lists("connection", "keep-alive"),
+                _ => return Err(Fault::Malformed),
+            };
+            self.keep = lasting && !headers.lists("connection", "close");
+            let body = Body::framed(&headers, MAX_BODY)?.unwrap_or(Body::Length(0));
+            let waits = headers.lists("expect", "100-continue") && self.buffer.is_empty();
+            let (method, target) = (line.slice_ref(method), line.slice_ref(target));
+            let request = Request { method, target, headers, body: Bytes::new() };
+            self.phase = Phase::Body(Box::new((request, body)));
+            if waits {
+                return Ok(Step::Continue(b"HTTP/1.1 100 Continue\r\n\r\n"));
+            }
+        }
+        if let Phase::Body(part) = &mut self.phase {
+            let Some(body) = part.1.take(&mut self.buffer, false, MAX_BODY)? else { return Ok(Step::More) };
+            let Phase::Body(part) = std::mem::replace(&mut self.phase, Phase::Owed) else {
+                return Ok(Step::More);
+            };
+            return Ok(Step::Request(Request { body, ..part.0 }));
+        }
+        Ok(Step::More)
+    }
+
+    /// The head of the answer that is owed; `close` ends the connection with it.
+    pub fn answer(&mut self, status: Status, extra: &str, length: usize, close: bool) -> BytesMut {
+        self.keep &= !close && matches!(self.phase, Phase::Owed);
+        self.phase = if self.keep { Phase::Head } else { Phase::Closed };
+        let closing = if self.keep { "" } else { "Connection: close\r\n" };
+        let mut head = BytesMut::with_capacity(160 + length);
+        let line = status.line();
+        head.put_slice(
+            format!("HTTP/1.1 {line}\r\n{extra}{closing}Content-Length: {length}\r\n\r\n").as_bytes(),
+        );
+        head
+    }
+}
--- /dev/null
+++ b/sidecar/src/main.rs
@@ -0,0 +1,46 @@
+//! Starts one sidecar from its environment and ends it on SIGTERM.
+#![forbid(unsafe_code)]
+
+use cometcroft_sidecar::config::Config;
+use cometcroft_sidecar::counters::Counters;
+use cometcroft_sidecar::shutdown::Shutdown;
+use std::process::ExitCode;
+use std::rc::Rc;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::task::{LocalSet, spawn_local};
+
+fn main() -> ExitCode {
+    let config = match Config::load(|name| std::env::var(name).ok()) {
+        Ok(config) => config,
+        Err(error) => {
+            eprintln!("cometcroft: configuration: {error}");
+            return ExitCode::from(2);
+        }
+    };
+    let counters = Rc::new(Counters::default());
+    let served = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .and_then(|runtime| LocalSet::new().block_on(&runtime, serve(config, counters.clone())));
+    eprintln!("cometcroft: counters {}", counters.json());
+    match served {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("cometcroft: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn serve(config: Config, counters: Rc<Counters>) -> std::io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let shutdown = Rc::new(Shutdown::default());
+    let begin = shutdown.clone();
+    spawn_local(async move {
+        terminate.recv().await;
+        begin.begin();
+    });
+    let listener = TcpListener::bind(config.listen).await?;
+    cometcroft_sidecar::run(config, listener, shutdown, counters).await
+}
--- /dev/null
+++ b/sidecar/src/probe.rs
@@ -0,0 +1,48 @@
+//! Probes: what a backend server says of its load.
+
+use crate::counters::count;
+use crate::dispatch::{HttpCarrier, Stage, without_answer};
+use crate::http::client;
+use crate::session::Probed;
+use cometcroft::{Outcome, Report, UpstreamId};
+use cometcroft_settings::Field;
+use serde_json::Value;
+use std::cell::Cell;
+use std::time::Duration;
+use tokio::time::{Instant, timeout_at};
+
+/// A probe is answered beside the queue; one that takes longer than this has told nothing in time.
+const PATIENCE: Duration = Duration::from_millis(300);
+
+/// Probes a backend server.
+pub async fn ask(carrier: &HttpCarrier, to: UpstreamId) -> Probed {
+    count(&carrier.counters.probes);
+    let (stage, ends) = (Cell::new(Stage::Unwritten), Instant::now() + PATIENCE);
+    let message = || client::get("/metrics/load", "backend.local");
+    let probed = match timeout_at(ends, carrier.exchange(to, message, ends, true, &stage)).await {
+        Ok(Ok(answer)) => {
+            let text = if answer.body.is_empty() { answer.report() } else { Some(&answer.body) };
+            let report = text.and_then(|text| report(text, &carrier.fields));
+            (if answer.status == 200 { Outcome::Ok } else { Outcome::Error }, report)
+        }
+        Ok(Err(_)) => (without_answer(stage.get(), false), None),
+        Err(_) => (without_answer(stage.get(), true), None),
+    };
+    if probed.1.is_none() {
+        count(&carrier.counters.probe_failures);
+    }
+    probed
+}
+
+/// Reads a load report, of the values that the settings name.
+pub fn report(text: &[u8], fields: &[Field]) -> Option<Report> {
+    let value: Value = serde_json::from_slice(text).ok()?;
+    let mut report = Report::default();
+    for (name, figure) in value.as_object()? {
+        let field = Field::named(name);
+        if let (Some(figure), true) = (figure.as_f64(), fields.contains(&field)) {
+            field.set(&mut report, figure);
+        }
+    }
+    Some(report)
+}
--- /dev/null
+++ b/sidecar/src/session/host.rs
@@ -0,0 +1,197 @@
+//! The host of the table: runs its commands as tasks and feeds back what comes of them.
+
+use super::table::{Command, Ended, Opening, SessionId, Table, Verdict};
+use crate::counters::Counters;
+use cometcroft::{Event, Outcome, Report, Settings, SettingsError, Time, UpstreamId};
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::future::Future;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::{Notify, oneshot};
+use tokio::task::{JoinHandle, spawn_local};
+use tokio::time::{Instant, sleep, timeout_at};
+
+/// Something that ends later.
+pub type Later<T> = Pin<Box<dyn Future<Output = T>>>;
+
+/// How a probe ended: the outcome and the load report.
+pub type Probed = (Outcome, Option<Report>);
+
+/// What brings dispatches and probes to backend servers, by some protocol.
+pub trait Carrier: 'static {
+    /// What a dispatch carries.
+    type Payload: Clone + 'static;
+    /// What a backend server answers.
+    type Answer: 'static;
+    /// One attempt. It ends within `timeout`; dropped, it ends its connection.
+    fn dispatch(
+        &self,
+        to: UpstreamId,
+        payload: Self::Payload,
+        timeout: Duration,
+    ) -> Later<Ended<Self::Answer>>;
+    /// One probe.
+    fn probe(&self, to: UpstreamId) -> Later<Probed>;
+    /// Closes idle connections.
+    fn close_idle(&self, to: UpstreamId);
+}
+
+/// Runs sessions. It owns the table, the clock, all timers and the tasks of all dispatches.
+pub struct Host<C: Carrier> {
+    carrier: C,
+    table: RefCell<Table<C::Payload, C::Answer>>,
+    waiting: RefCell<HashMap<SessionId, oneshot::Sender<Verdict<C::Answer>>>>,
+    running: RefCell<HashMap<SessionId, JoinHandle<()>>>,
+    subscribe: Notify,
+    origin: Instant,
+    origin_at: Time,
+}
+
+impl<C: Carrier> Host<C> {
+    /// A host whose module has not started yet. `origin` is the module's clock at this moment.
+    pub fn new(
+        carrier: C,
+        settings: Settings,
+        seed: u64,
+        origin: Time,
+        counters: Rc<Counters>,
+    ) -> Result<Rc<Host<C>>, SettingsError> {
+        Ok(Rc::new(Host {
+            carrier,
+            table: RefCell::new(Table::new(settings, seed, counters)?),
+            waiting: RefCell::default(),
+            running: RefCell::default(),
+            subscribe: Notify::new(),
+            origin: Instant::now(),
+            origin_at: origin,
+        }))
+    }
+
+    /// The module's clock.
+    pub fn now(&self) -> Time {
+        self.origin_at + self.origin.elapsed()
+    }
+
+    /// Waits until the module wants to watch discovery.
+    pub async fn subscribed(&self) {
+        self.subscribe.notified().await;
+    }
+
+    /// How many sessions are owed an answer.
+    pub fn owed(&self) -> usize {
+        self.table.borrow().owed()
+    }
+
+    /// Tells the module something that concerns no session.
+    pub fn tell(self: &Rc<Self>, event: Event) {
+        let commands = self.table.borrow_mut().tell(self.now(), event);
+        self.run(commands);
+    }
+
+    /// Serves one session until its final answer, at `due` at the latest. Dropped, it tells that the client
+    /// has left.
+    pub async fn serve(self: &Rc<Self>, opening: Opening<C::Payload>, due: Instant) -> Verdict<C::Answer> {
+        let (sender, receiver) = oneshot::channel();
+        let (id, commands) = self.table.borrow_mut().open(self.now(), opening);
+        self.waiting.borrow_mut().insert(id, sender);
+        let mut guard = Withdrawal { host: self.clone(), id, armed: true };
+        self.run(commands);
+        let mut receiver = receiver;
+        let verdict = match timeout_at(due, &mut receiver).await {
+            Ok(verdict) => verdict.ok(),
+            Err(_) => {
+                let commands = self.table.borrow_mut().overdue(self.now(), id);
+                self.run(commands);
+                receiver.try_recv().ok()
+            }
+        };
+        guard.armed = false;
+        verdict.unwrap_or(Verdict::Overdue)
+    }
+
+    fn run(self: &Rc<Self>, commands: Vec<Command<C::Payload, C::Answer>>) {
+        for command in commands {
+            match command {
+                Command::Dispatch { session, attempt, upstream, timeout, payload } => {
+                    self.dispatch(session, attempt, upstream, timeout, payload);
+                }
+                Command::Abandon(session) => {
+                    if let Some(task) = self.running.borrow().get(&session) {
+                        task.abort();
+                    }
+                }
+                Command::Answer(session, verdict) => {
+                    if let Some(sender) = self.waiting.borrow_mut().remove(&session) {
+                        // The client may have left in the same instant; then nobody listens.
+                        let _ = sender.send(verdict);
+                    }
+                }
+                Command::Forget(session) => {
+                    self.waiting.borrow_mut().remove(&session);
+                    self.running.borrow_mut().remove(&session);
+                }
+                Command::Timer(after, timer) => {
+                    let host = self.clone();
+                    spawn_local(async move {
+                        sleep(after).await;
+                        host.tell(Event::Timer(timer));
+                    });
+                }
+                Command::Probe(upstream) => {
+                    let (host, began, probe) = (self.clone(), Instant::now(), self.carrier.probe(upstream));
+                    spawn_local(async move {
+                        let (outcome, report) = probe.await;
+                        let latency = began.elapsed();
+                        host.tell(Event::Probed { upstream, outcome, latency, report });
+                    });
+                }
+                Command::CloseIdle(upstream) => self.carrier.close_idle(upstream),
+                Command::Subscribe => self.subscribe.notify_one(),
+            }
+        }
+    }
+
+    fn dispatch(
+        self: &Rc<Self>,
+        session: SessionId,
+        attempt: u32,
+        upstream: UpstreamId,
+        timeout: Duration,
+        payload: C::Payload,
+    ) {
+        let host = self.clone();
+        let ends = Instant::now() + timeout;
+        let before = self.running.borrow_mut().remove(&session);
+        let task = spawn_local(async move {
+            // Danger: an attempt that was given up holds its connection until its task is dropped; a second
+            // one begun before that would be two at once.
+            if let Some(before) = before {
+                let _ = before.await;
+            }
+            let left = ends.saturating_duration_since(Instant::now());
+            let ended = host.carrier.dispatch(upstream, payload, left).await;
+            let commands = host.table.borrow_mut().ended(host.now(), session, attempt, ended);
+            host.run(commands);
+        });
+        self.running.borrow_mut().insert(session, task);
+    }
+}
+
+/// Tells the table that a client has left when its session is dropped unanswered.
+struct Withdrawal<C: Carrier> {
+    host: Rc<Host<C>>,
+    id: SessionId,
+    armed: bool,
+}
+
+impl<C: Carrier> Drop for Withdrawal<C> {
+    fn drop(&mut self) {
+        if self.armed {
+            self.host.waiting.borrow_mut().remove(&self.id);
+            let commands = self.host.table.borrow_mut().withdraw(self.host.now(), self.id);
+            self.host.run(commands);
+        }
+    }
+}
--- /dev/null
+++ b/sidecar/src/session/table.rs
@@ -0,0 +1,301 @@
+//! The session table: which sessions are owed an answer and which dispatches are out. No I/O.
+
+use crate::counters::{Counters, count, invariant};
+use cometcroft::*;
+use std::collections::{HashMap, VecDeque};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// A session; the module knows it as a request of this number.
+pub type SessionId = u64;
+
+/// What a frontend says of a new session.
+#[derive(Debug, Clone)]
+pub struct Opening<P> {
+    /// Its class.
+    pub class: ClassId,
+    /// Its tenant, where there are any.
+    pub tenant: Option<TenantId>,
+    /// The time until its final answer is due.
+    pub left: Duration,
+    /// Its client says that it is not its first try.
+    pub repeat: bool,
+    /// What a dispatch carries to a backend server.
+    pub payload: P,
+}
+
+/// The one final answer to a session.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Verdict<A> {
+    /// A backend server's answer.
+    Served(A),
+    /// Denied: to try again is harmless.
+    Denied {
+        /// Advice to stay away for so long.
+        retry_after: Option<Duration>,
+    },
+    /// Failed, with no promise.
+    Failed,
+    /// No answer in time.
+    Overdue,
+}
+
+/// How a dispatch ended.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Ended<A> {
+    /// How.
+    pub outcome: Outcome,
+    /// The backend server's load report, if one came along.
+    pub report: Option<Report>,
+    /// The answer to hand on, if it was served.
+    pub answer: Option<A>,
+}
+
+/// What the table wants carried out.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Command<P, A> {
+    /// Begin a dispatch.
+    Dispatch {
+        /// Of which session.
+        session: SessionId,
+        /// Its number, counted from 0.
+        attempt: u32,
+        /// To which backend server.
+        upstream: UpstreamId,
+        /// It is given up after this time.
+        timeout: Duration,
+        /// What it carries.
+        payload: P,
+    },
+    /// Give up the dispatch that a session has out.
+    Abandon(SessionId),
+    /// Give a session its final answer.
+    Answer(SessionId, Verdict<A>),
+    /// A session is over and nothing of it is out.
+    Forget(SessionId),
+    /// Call [`Table::timer`] after this time.
+    Timer(Duration, Timer),
+    /// Ask a backend server for its load.
+    Probe(UpstreamId),
+    /// Close the idle connections to a backend server.
+    CloseIdle(UpstreamId),
+    /// Begin to watch discovery.
+    Subscribe,
+}
+
+#[derive(Debug)]
+struct Dispatch {
+    upstream: UpstreamId,
+    began: Time,
+    out: bool,
+}
+
+#[derive(Debug)]
+struct Session<P> {
+    payload: P,
+    dispatches: Vec<Dispatch>,
+    answered: bool,
+}
+
+/// All sessions of a sidecar and the module that decides on them.
+#[derive(Debug)]
+pub struct Table<P, A> {
+    balancer: Balancer,
+    most: usize,
+    sessions: HashMap<SessionId, Session<P>>,
+    next: SessionId,
+    events: VecDeque<Event>,
+    actions: Vec<Action>,
+    commands: Vec<Command<P, A>>,
+    counters: Rc<Counters>,
+}
+
+impl<P: Clone, A> Table<P, A> {
+    /// A table with a module of its own.
+    pub fn new(settings: Settings, seed: u64, counters: Rc<Counters>) -> Result<Table<P, A>, SettingsError> {
+        Ok(Table {
+            most: settings.limits.max_attempts as usize,
+            balancer: Balancer::new(settings, seed)?,
+            sessions: HashMap::new(),
+            next: 0,
+            events: VecDeque::new(),
+            actions: Vec::new(),
+            commands: Vec::new(),
+            counters,
+        })
+    }
+
+    /// How many sessions are owed an answer.
+    pub fn owed(&self) -> usize {
+        self.sessions.values().filter(|s| !s.answered).count()
+    }
+
+    /// Tells the module something that concerns no session.
+    pub fn tell(&mut self, now: Time, event: Event) -> Vec<Command<P, A>> {
+        self.events.push_back(event);
+        self.run(now)
+    }
+
+    /// A session has come in.
+    pub fn open(&mut self, now: Time, opening: Opening<P>) -> (SessionId, Vec<Command<P, A>>) {
+        let (id, Opening { class, tenant, left, repeat, payload }) = (self.next, opening);
+        self.next += 1;
+        count(&self.counters.sessions);
+        self.sessions.insert(id, Session { payload, dispatches: Vec::new(), answered: false });
+        let request = RequestId(id);
+        let commands = self.tell(now, Event::Request { request, class, tenant, left, hint: None, repeat });
+        (id, commands)
+    }
+
+    /// A dispatch has ended.
+    pub fn ended(&mut self, now: Time, id: SessionId, attempt: u32, ended: Ended<A>) -> Vec<Command<P, A>> {
+        let Some(session) = self.sessions.get_mut(&id) else { return Vec::new() };
+        let Some(dispatch) = session.dispatches.get_mut(attempt as usize).filter(|d| d.out) else {
+            // It was given up in the same instant and the module has been told so.
+            return Vec::new();
+        };
+        dispatch.out = false;
+        let (upstream, latency) = (dispatch.upstream, now.saturating_sub(dispatch.began));
+        let Ended { outcome, report, answer } = ended;
+        count(match outcome {
+            Outcome::Ok => &self.counters.dispatch_ok,
+            Outcome::Error => &self.counters.dispatch_error,
+            Outcome::Full => &self.counters.dispatch_full,
+            Outcome::Timeout => &self.counters.dispatch_timeout,
+            Outcome::ConnectFailed => &self.counters.dispatch_unconnected,
+            Outcome::Reset => &self.counters.dispatch_reset,
+            Outcome::Cancelled => &self.counters.dispatch_cancelled,
+            Outcome::Moot => &self.counters.dispatch_moot,
+        });
+        if let (Some(answer), Outcome::Ok, false) = (answer, outcome, session.answered) {
+            session.answered = true;
+            count(&self.counters.served);
+            self.commands.push(Command::Answer(id, Verdict::Served(answer)));
+        }
+        let (request, closed) = (RequestId(id), session.answered);
+        let event = Event::Outcome { request, attempt, upstream, closed, outcome, latency, report };
+        self.events.push_back(event);
+        self.run(now)
+    }
+
+    /// The client has left; nothing is owed.
+    pub fn withdraw(&mut self, now: Time, id: SessionId) -> Vec<Command<P, A>> {
+        match self.sessions.get_mut(&id).filter(|s| !s.answered) {
+            Some(session) => session.answered = true,
+            None => return Vec::new(),
+        }
+        count(&self.counters.withdrawn);
+        self.close(now, id)
+    }
+
+    /// The answer is due now, whatever the module waits for.
+    pub fn overdue(&mut self, now: Time, id: SessionId) -> Vec<Command<P, A>> {
+        match self.sessions.get_mut(&id).filter(|s| !s.answered) {
+            Some(session) => session.answered = true,
+            None => return Vec::new(),
+        }
+        count(&self.counters.overdue);
+        self.commands.push(Command::Answer(id, Verdict::Overdue));
+        self.close(now, id)
+    }
+
+    fn close(&mut self, now: Time, id: SessionId) -> Vec<Command<P, A>> {
+        self.events.push_back(Event::Withdrawn(RequestId(id)));
+        let mut commands = self.run(now);
+        // The module calls off what is out only where that is permitted; a dispatch that nobody waits for is
+        // ended all the same, as its connection would stay taken.
+        self.abandon(now, id);
+        commands.extend(self.run(now));
+        commands
+    }
+
+    fn abandon(&mut self, now: Time, id: SessionId) {
+        let Some(session) = self.sessions.get_mut(&id) else { return };
+        for (attempt, dispatch) in session.dispatches.iter_mut().enumerate().filter(|(_, d)| d.out) {
+            dispatch.out = false;
+            count(&self.counters.dispatch_cancelled);
+            self.commands.push(Command::Abandon(id));
+            self.events.push_back(Event::Outcome {
+                request: RequestId(id),
+                attempt: attempt as u32,
+                upstream: dispatch.upstream,
+                closed: session.answered,
+                outcome: Outcome::Cancelled,
+                latency: now.saturating_sub(dispatch.began),
+                report: None,
+            });
+        }
+    }
+
+    fn run(&mut self, now: Time) -> Vec<Command<P, A>> {
+        while let Some(event) = self.events.pop_front() {
+            let concerned = match &event {
+                Event::Request { request, .. } | Event::Outcome { request, .. } => Some(request.0),
+                Event::Withdrawn(request) => Some(request.0),
+                _ => None,
+            };
+            let mut actions = std::mem::take(&mut self.actions);
+            self.balancer.handle(now, event, &mut actions);
+            for action in actions.drain(..) {
+                self.carry_out(now, action);
+            }
+            self.actions = actions;
+            if let Some(id) = concerned
+                && self.sessions.get(&id).is_some_and(|s| s.answered && s.dispatches.iter().all(|d| !d.out))
+            {
+                self.sessions.remove(&id);
+                self.commands.push(Command::Forget(id));
+            }
+        }
+        std::mem::take(&mut self.commands)
+    }
+
+    fn carry_out(&mut self, now: Time, action: Action) {
+        match action {
+            Action::Send { request, upstream, timeout } => self.send(now, request.0, upstream, timeout),
+            Action::Refuse { request, retry_after } => {
+                self.answer(now, request.0, Verdict::Denied { retry_after });
+            }
+            Action::Fail(request) => self.answer(now, request.0, Verdict::Failed),
+            Action::Cancel { request, .. } => self.abandon(now, request.0),
+            Action::SetTimer { after, timer } => self.commands.push(Command::Timer(after, timer)),
+            Action::Probe(upstream) => self.commands.push(Command::Probe(upstream)),
+            Action::Close(upstream) => self.commands.push(Command::CloseIdle(upstream)),
+            Action::Subscribe => self.commands.push(Command::Subscribe),
+        }
+    }
+
+    fn send(&mut self, now: Time, id: SessionId, upstream: UpstreamId, timeout: Duration) {
+        let Some(session) = self.sessions.get_mut(&id) else {
+            invariant(&self.counters, false, "only known sessions are dispatched");
+            return;
+        };
+        let out = session.dispatches.iter().any(|d| d.out);
+        invariant(&self.counters, !out, "a session has one dispatch out at most");
+        let attempt = session.dispatches.len();
+        // Never two at once, whatever was decided: what can't be sent is reported as never sent.
+        let moot = out || session.answered || attempt >= self.most;
+        session.dispatches.push(Dispatch { upstream, began: now, out: !moot });
+        let attempt = attempt as u32;
+        if moot {
+            count(&self.counters.dispatch_moot);
+            let (request, closed) = (RequestId(id), session.answered);
+            let (outcome, latency) = (Outcome::Moot, Duration::ZERO);
+            let event = Event::Outcome { request, attempt, upstream, closed, outcome, latency, report: None };
+            self.events.push_back(event);
+            return;
+        }
+        count(&self.counters.dispatches);
+        let payload = session.payload.clone();
+        self.commands.push(Command::Dispatch { session: id, attempt, upstream, timeout, payload });
+    }
+
+    fn answer(&mut self, now: Time, id: SessionId, verdict: Verdict<A>) {
+        let Some(session) = self.sessions.get_mut(&id).filter(|s| !s.answered) else { return };
+        session.answered = true;
+        let denied = matches!(verdict, Verdict::Denied { .. });
+        count(if denied { &self.counters.denied } else { &self.counters.failed });
+        self.commands.push(Command::Answer(id, verdict));
+        self.abandon(now, id);
+    }
+}
--- a/sim/src/codec.rs
+++ b/sim/src/codec.rs
@@ -1,7 +1,8 @@
 //! The words of the wire: parsing of event lines and of settings, writing of action lines.
 
-use lilacwheel::*;
-use serde_json::Value;
+use cometcroft::*;
+
+pub use cometcroft_settings::{Field, hash, parse_settings};
 use std::time::Duration;
 
 /// An entry of a list, its upstream still a word.
@@ -228,25 +229,6 @@
     Ok(Item { key: hash(&word), word, cell, zone, started, state, weight })
 }
 
-/// A hash of a name that is the same in every process and build (FNV-1a).
-pub fn hash(word: &str) -> u64 {
-    word.bytes().fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
-        (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3)
-    })
-}
-
-/// A value of a load report.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Field {
-    Inflight,
-    Queue,
-    Utilization,
-    LatencyMs,
-    Rate,
-    Errors,
-    Other,
-}
-
 /// Reads a load report, its values in the order of `fields`.
 pub fn parse_report(word: &str, fields: &[Field]) -> Result<Option<Report>, String> {
     if word == "-" {
@@ -258,15 +240,7 @@
             continue;
         }
         let value: f64 = value.parse().map_err(|_| format!("health-info is not numbers: {word:?}"))?;
-        match field {
-            Field::Inflight => report.inflight = Some(value),
-            Field::Queue => report.queue = Some(value),
-            Field::Utilization => report.utilization = Some(value),
-            Field::LatencyMs => report.latency = Some(value / 1e3),
-            Field::Rate => report.rate = Some(value),
-            Field::Errors => report.errors = Some(value),
-            Field::Other => {}
-        }
+        field.set(&mut report, value);
     }
     Ok(Some(report))
 }
@@ -291,183 +265,3 @@
         },
     }
 }
-
-/// A group of settings, with its place for messages.
-struct Group<'a> {
-    value: &'a Value,
-    place: &'a str,
-}
-
-impl<'a> Group<'a> {
-    fn get(&self, key: &str) -> Result<&'a Value, String> {
-        self.value.get(key).ok_or_else(|| format!("setting {}{key} is missing", self.place))
-    }
-
-    fn group(&self, key: &str, place: &'a str) -> Result<Group<'a>, String> {
-        Ok(Group { value: self.get(key)?, place })
-    }
-
-    fn number(&self, key: &str, default: Option<f64>) -> Result<f64, String> {
-        match (self.value.get(key), default) {
-            (None | Some(Value::Null), Some(default)) => Ok(default),
-            _ => {
-                self.get(key)?.as_f64().ok_or_else(|| format!("setting {}{key} is not a number", self.place))
-            }
-        }
-    }
-
-    fn time(&self, key: &str) -> Result<Duration, String> {
-        let ns = self.get(key)?.as_u64();
-        ns.map(Duration::from_nanos).ok_or_else(|| format!("setting {}{key} is not a time", self.place))
-    }
-
-    fn whole(&self, key: &str) -> Result<usize, String> {
-        let whole = self.get(key)?.as_u64();
-        whole.map(|n| n as usize).ok_or_else(|| format!("setting {}{key} is not a whole number", self.place))
-    }
-
-    fn count(&self, key: &str) -> Result<u32, String> {
-        u32::try_from(self.whole(key)?).map_err(|_| format!("setting {}{key} is too large", self.place))
-    }
-
-    fn flag(&self, key: &str) -> bool {
-        self.value.get(key).and_then(Value::as_bool).unwrap_or(false)
-    }
-
-    /// A flag that may be absent but, where it is present, must be one.
-    fn switch(&self, key: &str) -> Result<bool, String> {
-        match self.value.get(key) {
-            None | Some(Value::Null) => Ok(false),
-            Some(value) => value
-                .as_bool()
-                .ok_or_else(|| format!("setting {}{key} is neither true nor false", self.place)),
-        }
-    }
-
-    fn text(&self, key: &str) -> Result<&'a str, String> {
-        self.get(key)?.as_str().ok_or_else(|| format!("setting {}{key} is not a text", self.place))
-    }
-
-    fn list(&self, key: &str) -> Result<&'a [Value], String> {
-        let list = self.get(key)?.as_array();
-        list.map(Vec::as_slice).ok_or_else(|| format!("setting {}{key} is not a list", self.place))
-    }
-}
-
-fn parse_class(value: &Value) -> Result<Class, String> {
-    let class = Group { value, place: "request-classes." };
-    let effect = match class.text("effect")? {
-        "read_like" => Effect::Safe,
-        "non_idempotent" => Effect::Unsafe,
-        "idempotency_key" => {
-            let scope = match class.text("dedup-scope")? {
-                "all" => DedupScope::All,
-                "zone" => DedupScope::Zone,
-                "cell" => DedupScope::Cell,
-                word => return Err(format!("setting request-classes.dedup-scope is unknown: {word:?}")),
-            };
-            Effect::Keyed { scope, window: class.time("key-ttl-ns")? }
-        }
-        word => return Err(format!("setting request-classes.effect is unknown: {word:?}")),
-    };
-    Ok(Class {
-        aim: class.time("slo-ns")?,
-        aim_stretch: class.number("aim-stretch", Some(0.0))?,
-        deadline: class.time("deadline-ns")?,
-        effect,
-        worth: class.number("worth", None)?,
-        late_value: class.number("late-value", Some(0.0))?,
-    })
-}
-
-/// The budget of further attempts: all of its keys or none.
-fn parse_budget(rules: &Group<'_>) -> Result<Option<RetryBudget>, String> {
-    let absent = |key| rules.value.get(key).is_none_or(Value::is_null);
-    if ["budget-free", "extra-ratio", "look-back-ns"].into_iter().all(absent) {
-        return Ok(None);
-    }
-    Ok(Some(RetryBudget {
-        free: rules.number("budget-free", None)?,
-        ratio: rules.number("extra-ratio", None)?,
-        look_back: rules.time("look-back-ns")?,
-    }))
-}
-
-/// Reads the settings of an instance and the order of its report's values.
-pub fn parse_settings(conf: &str) -> Result<(Settings, Vec<Field>), String> {
-    let value: Value = serde_json::from_str(conf).map_err(|e| format!("conf is not JSON: {e}"))?;
-    let top = Group { value: &value, place: "" };
-    let limits = top.group("policy-limits", "policy-limits.")?;
-    let rules = top.group("contract", "contract.")?;
-    let prices = top.group("prices", "prices.")?;
-    let report = top.group("report", "report.")?;
-    let fields = report.list("fields")?.iter().map(|field| match field.as_str() {
-        Some("inflight") => Field::Inflight,
-        Some("queue") => Field::Queue,
-        Some("util") => Field::Utilization,
-        Some("latency_ms") => Field::LatencyMs,
-        Some("qps") => Field::Rate,
-        Some("eps") => Field::Errors,
-        _ => Field::Other,
-    });
-    let tenant = |value| -> Result<Tenant, String> {
-        let tenant = Group { value, place: "accounts." };
-        Ok(Tenant { quota_per_s: tenant.number("quota-rps", None)? })
-    };
-    let accounts = if value.get("accounts").is_some() { top.list("accounts")? } else { &[] };
-    let settings = Settings {
-        instances: top.count("instances")?,
-        rank: if value.get("rank").is_some() { top.count("rank")? } else { 0 },
-        tier: top.whole("tier")?,
-        tiers: top.list("tiers")?.len(),
-        zone: ZoneId(top.whole("zone")?),
-        zones: top.list("dcs")?.len(),
-        passes_deadline: value.pointer("/domain/passes-deadline").and_then(Value::as_bool).unwrap_or(false),
-        step: top.time("step-ns")?,
-        classes: top.list("request-classes")?.iter().map(parse_class).collect::<Result<_, _>>()?,
-        tenants: accounts.iter().map(tenant).collect::<Result<_, _>>()?,
-        over_share_worth: top.number("over-share-worth", Some(1.0))?,
-        limits: Limits {
-            cancel: limits.flag("cancel"),
-            probes: limits.flag("probes"),
-            second_copies: limits.flag("second-copies"),
-            max_attempts: limits.whole("max-attempts")? as u32,
-            retry_after: limits.flag("retry-after"),
-            max_retry_after: limits.time("max-retry-after-ns")?,
-        },
-        rules: Rules {
-            cold_from: rules.number("cold-from", None)?,
-            ramp: rules.time("ramp-time-ns")?,
-            fall_multiple: rules.number("fall-multiple", None)?,
-            fall_after: rules.time("tip-after-ns")?,
-            drain_grace: rules.time("drain-grace-ns")?,
-            ask_within: rules.time("ask-within-ns").unwrap_or(Duration::MAX),
-            retry_budget: parse_budget(&rules)?,
-            drain_binds_alone: rules.switch("drain-binds-alone")?,
-            let_go: rules.value.get("let-go-in-ns").map(|_| rules.time("let-go-in-ns")).transpose()?,
-        },
-        prices: Prices {
-            probe: prices.number("probe", Some(0.0))?,
-            waste: prices.number("waste", Some(0.0))?,
-            cross_zone: prices.number("cross-zone", Some(0.0))?,
-        },
-        reports: match report.text("source")? {
-            "piggyback" => ReportSource::Answers,
-            "pull" => ReportSource::Probes,
-            "silent" => ReportSource::None,
-            word => return Err(format!("setting report.source is unknown: {word:?}")),
-        },
-        discovery: match top.text("discovery")? {
-            "automatic" => Discovery::Push,
-            "subscribe" => Discovery::Subscribe,
-            word => return Err(format!("setting discovery is unknown: {word:?}")),
-        },
-        weights: match top.text("weight-kind")? {
-            "silent" => WeightKind::None,
-            "nominal" | "rough" => WeightKind::Size,
-            "live" => WeightKind::Live,
-            word => return Err(format!("setting weight-kind is unknown: {word:?}")),
-        },
-    };
-    Ok((settings, fields.collect()))
-}
--- a/sim/src/host.rs
+++ b/sim/src/host.rs
@@ -1,7 +1,7 @@
 //! Hosts the instances: each has its own balancer, its own interned ids and its own reply.
 
 use crate::codec::{self, Field, Item, Line};
-use lilacwheel::*;
+use cometcroft::*;
 use std::collections::{BTreeMap, HashMap};
 use std::fmt;
 use std::io::{BufRead, Write};
--- a/sim/src/main.rs
+++ b/sim/src/main.rs
@@ -4,10 +4,10 @@
 fn main() -> ExitCode {
     let input = std::io::stdin().lock();
     let output = std::io::stdout().lock();
-    match lilacwheel_sim::host::run(input, output) {
+    match cometcroft_sim::host::run(input, output) {
         Ok(()) => ExitCode::SUCCESS,
         Err(fault) => {
-            eprintln!("lilacwheel-sim: {fault}");
+            eprintln!("cometcroft-sim: {fault}");
             ExitCode::FAILURE
         }
     }
--- a/sim/tests/wire.rs
+++ b/sim/tests/wire.rs
@@ -1,5 +1,5 @@
 //! The adapter on the wire: what it answers and how it ends.
-use lilacwheel_sim::{codec, host};
+use cometcroft_sim::{codec, host};
 
 const CONF: &str = r#"{"accounts": [], "contract": {"ask-within-ns": 10000000000, "cold-from": 0.3, "drain-grace-ns": 500000000, "fall-multiple": 2.5, "ramp-time-ns": 8900000000, "tip-after-ns": 1000000000, "novel": 1}, "dcs": ["a"], "discovery": "subscribe", "instances": 3, "policy-limits": {"cancel": true, "max-attempts": 4, "max-retry-after-ns": 750000000, "probes": true, "second-copies": true, "retry-after": true}, "prices": {"probe": 0.01}, "rank": 0, "report": {"fields": ["util", "inflight", "queue"], "source": "piggyback"}, "request-classes": [{"deadline-ns": 750000000, "effect": "read_like", "late-value": 0.5, "name": "view", "slo-ns": 300000000, "worth": 3.0}], "step-ns": 2000000, "tier": 0, "tiers": ["x", "y"], "weight-kind": "rough", "zone": 0, "unknown-key": {}}"#;
 
@@ -73,7 +73,7 @@
 
 #[test]
 fn timers_come_back_as_they_were_given() {
-    use lilacwheel::{RequestId, Timer};
+    use cometcroft::{RequestId, Timer};
     for timer in [Timer::Refresh, Timer::Subscribe, Timer::Request(RequestId(8))] {
         assert_eq!(codec::parse_timer(&codec::write_timer(timer)), Ok(timer));
     }
@@ -107,7 +107,7 @@
 
 #[test]
 fn the_retry_budget_and_the_rule_on_drains_are_read_and_may_be_absent() {
-    use lilacwheel::RetryBudget;
+    use cometcroft::RetryBudget;
     let rules = |conf: &str| codec::parse_settings(conf).map(|(s, _)| s.rules);
     let with = |keys: &str| changed("\"novel\": 1", keys);
     let plain = rules(CONF).expect("sound");
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,7 +3,7 @@
 //! [`Balancer`] is sans-I/O: the host tells it events with the time, and carries out its actions.
 //!
 //! ```
-//! use lilacwheel::*;
+//! use cometcroft::*;
 //! use std::time::Duration;
 //!
 //! let settings = Settings::example();
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! A balancer driven by hand: the clock moves only when a test moves it.
 #![allow(dead_code)]
 
-use lilacwheel::*;
+use cometcroft::*;
 use std::time::Duration;
 
 pub fn ms(n: u64) -> Duration {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -1,8 +1,8 @@
 //! Random events with fixed seeds, the four rules checked after every one.
 mod common;
 
+use cometcroft::*;
 use common::*;
-use lilacwheel::*;
 use std::collections::HashMap;
 use std::time::Duration;
 
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -1,8 +1,8 @@
 //! One small scenario for each failure found, on the module alone.
 mod common;
 
+use cometcroft::*;
 use common::*;
-use lilacwheel::*;
 use std::time::Duration;
 
 fn keyed(scope: DedupScope) -> Effect {
