Count budgets from the first byte, refuse bare line feeds and keyless keyed requests; tests

Tests: models of both HTTP directions and of the session table against random steps (fixed seed, no persistence), outcome mapping, directory, time left, reports, configuration.

--- a/sidecar/src/discovery.rs
+++ b/sidecar/src/discovery.rs
@@ -26,7 +26,6 @@
 
 #[derive(Debug)]
 struct Entry {
-    name: String,
     address: SocketAddr,
     /// When we were told that it drains or is gone.
     closed: Option<Instant>,
@@ -69,6 +68,11 @@
         }
     }
 
+    /// No backend server has been named yet.
+    pub fn is_empty(&self) -> bool {
+        self.entries.borrow().is_empty()
+    }
+
     /// The present address of a backend server.
     pub fn address(&self, id: UpstreamId) -> Option<SocketAddr> {
         self.entries.borrow().get(id.0 as usize).map(|e| e.address)
@@ -99,7 +103,7 @@
                     ids.remove(name);
                     continue;
                 };
-                entries.push(Entry { name: name.to_owned(), address, closed: None });
+                entries.push(Entry { address, closed: None });
                 listed.push(true);
             }
             listed[at] = true;
@@ -150,11 +154,6 @@
         };
         Some((name, address, member))
     }
-
-    /// The name of a backend server.
-    pub fn name(&self, id: UpstreamId) -> Option<String> {
-        self.entries.borrow().get(id.0 as usize).map(|e| e.name.clone())
-    }
 }
 
 /// Watches discovery whenever the module asks for it, until a call fails.
--- a/sidecar/src/frontend.rs
+++ b/sidecar/src/frontend.rs
@@ -2,13 +2,14 @@
 //! answers.
 
 use crate::counters::{Counters, count};
+use crate::discovery::Directory;
 use crate::dispatch::HttpCarrier;
 use crate::http::client::Answer;
 use crate::http::server::{Connection, Request, Status, Step};
 use crate::http::{Fault, MAX_BODY};
 use crate::session::{Host, Opening, Verdict};
 use crate::shutdown::{LINGER, Shutdown};
-use cometcroft::{ClassId, TenantId};
+use cometcroft::{Class, ClassId, Effect, TenantId};
 use cometcroft_settings::Sockets;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -27,6 +28,8 @@
 /// All client connections.
 pub struct Frontend {
     host: Rc<Host<HttpCarrier>>,
+    directory: Rc<Directory>,
+    classes: Vec<Class>,
     net: Sockets,
     shutdown: Rc<Shutdown>,
     counters: Rc<Counters>,
@@ -36,12 +39,16 @@
     /// Connections between requests, the longest idle first.
     idle: RefCell<BTreeMap<u64, Rc<Notify>>>,
     turn: Cell<u64>,
+    /// The listener is closed: nobody waits for a first request any more.
+    ended: Cell<bool>,
 }
 
 impl Frontend {
     /// A frontend that holds at most `most` connections.
     pub fn new(
         host: Rc<Host<HttpCarrier>>,
+        directory: Rc<Directory>,
+        classes: Vec<Class>,
         net: Sockets,
         shutdown: Rc<Shutdown>,
         counters: Rc<Counters>,
@@ -49,6 +56,8 @@
     ) -> Rc<Frontend> {
         Rc::new(Frontend {
             host,
+            directory,
+            classes,
             net,
             shutdown,
             counters,
@@ -57,6 +66,7 @@
             left: Notify::new(),
             idle: RefCell::default(),
             turn: Cell::new(0),
+            ended: Cell::new(false),
         })
     }
 
@@ -71,6 +81,7 @@
             () = ends => {}
         }
         drop(listener);
+        self.ended.set(true);
         for idle in self.idle.borrow().values() {
             idle.notify_one();
         }
@@ -119,7 +130,7 @@
             match machine.step() {
                 Step::More => {
                     let idle = machine.idle();
-                    if idle && self.shutdown.leaving() && !first {
+                    if idle && self.shutdown.leaving() && (!first || self.ended.get()) {
                         return Ok(());
                     }
                     let read = if idle {
@@ -137,10 +148,11 @@
                 Step::Continue(bytes) => stream.write_all(bytes).await?,
                 Step::Request(request) => {
                     first = false;
-                    if !self.request(&mut stream, &mut machine, request, since).await? {
-                        return Ok(());
+                    match self.request(&mut stream, &mut machine, request, since).await? {
+                        // Danger: what came early has waited since then, and its budget has run.
+                        Some(early) => since = early,
+                        None => return Ok(()),
                     }
-                    since = Instant::now();
                 }
                 Step::Reject(status) => {
                     count(&self.counters.bad_requests);
@@ -181,32 +193,35 @@
         read
     }
 
-    /// Serves one request; false when its client has left.
+    /// Serves one request and tells since when the next one has been coming; `None` when its client has left.
     async fn request(
         &self,
         stream: &mut TcpStream,
         machine: &mut Connection,
         request: Request,
         since: Instant,
-    ) -> io::Result<bool> {
+    ) -> io::Result<Option<Instant>> {
+        let mut early = machine.ahead().then_some(since);
         let close = self.shutdown.leaving();
         if request.method == "GET" && request.path() == b"/up" {
-            let status = if close { Status::Unavailable } else { Status::Ok };
+            // Without a list there is nowhere to send a request to.
+            let ready = !close && !self.directory.is_empty();
+            let status = if ready { Status::Ok } else { Status::Unavailable };
             reply(stream, machine, status, "", b"", close).await?;
-            return Ok(true);
+            return Ok(Some(early.unwrap_or_else(Instant::now)));
         }
         if request.method == "GET" && request.path() == b"/counters" {
             let json = self.counters.json();
             let extra = "Content-Type: application/json\r\n";
             reply(stream, machine, Status::Ok, extra, json.as_bytes(), close).await?;
-            return Ok(true);
+            return Ok(Some(early.unwrap_or_else(Instant::now)));
         }
         let (opening, due) = match self.opening(request, since) {
             Ok(opening) => opening,
             Err(fault) => {
                 count(&self.counters.bad_requests);
                 reply(stream, machine, fault.into(), "", b"", true).await?;
-                return Ok(true);
+                return Ok(Some(early.unwrap_or_else(Instant::now)));
             }
         };
         let verdict = {
@@ -220,8 +235,9 @@
                     verdict = &mut served => break verdict,
                     read = stream.read_buf(machine.buffer()), if !machine.full() => {
                         if !matches!(read, Ok(1..)) {
-                            return Ok(false);
+                            return Ok(None);
                         }
+                        early.get_or_insert_with(Instant::now);
                     }
                 }
             }
@@ -242,7 +258,7 @@
             Verdict::Failed => reply(stream, machine, Status::BadGateway, "", b"", close).await?,
             Verdict::Overdue => reply(stream, machine, Status::GatewayTimeout, "", b"", close).await?,
         }
-        Ok(true)
+        Ok(Some(early.unwrap_or_else(Instant::now)))
     }
 
     /// What a request asks for, and when its answer is due at the latest.
@@ -253,6 +269,12 @@
         }
         let class = self.net.classes.iter().position(|name| name.as_bytes() == request.class());
         let class = ClassId(class.ok_or(Fault::Malformed)?);
+        // Danger: without its key a keyed request is as unsafe to repeat as any other.
+        let key = request.headers.single("idempotency-key")?;
+        let keyed = matches!(self.classes.get(class.0), Some(Class { effect: Effect::Keyed { .. }, .. }));
+        if keyed && key.is_none_or(|key| key.is_empty()) {
+            return Err(Fault::Malformed);
+        }
         let caller = request.headers.single("x-caller")?;
         let tenant = caller.and_then(|c| self.net.tenants.iter().position(|t| t.as_bytes() == c));
         let repeat = request.headers.lists("x-again", "1");
--- a/sidecar/src/http/client.rs
+++ b/sidecar/src/http/client.rs
@@ -1,6 +1,6 @@
 //! The side of a connection towards a backend server or discovery: one request out, one answer in.
 
-use super::message::{Body, Fault, Headers, take_head};
+use super::message::{Body, Fault, Headers, roomy, take_head};
 use super::server::Request;
 use bytes::{BufMut, Bytes, BytesMut};
 use std::time::Duration;
@@ -46,7 +46,7 @@
 
     /// The buffer that bytes are to be read into.
     pub fn buffer(&mut self) -> &mut BytesMut {
-        &mut self.buffer
+        roomy(&mut self.buffer)
     }
 
     /// Looks at what has come. `ended`: no more bytes will come.
--- a/sidecar/src/http/message.rs
+++ b/sidecar/src/http/message.rs
@@ -68,6 +68,10 @@
     }
     let mut head = buffer.split_to(end + 4).freeze();
     head.truncate(end);
+    // Danger: whoever reads the same bytes next may not take a bare line feed for the end of a line.
+    if head.iter().enumerate().any(|(at, &b)| b == b'\n' && (at == 0 || head[at - 1] != b'\r')) {
+        return Err(Fault::Malformed);
+    }
     let mut lines = head.split(|&b| b == b'\n').map(|line| line.strip_suffix(b"\r").unwrap_or(line));
     let first = lines.next().ok_or(Fault::Malformed)?;
     let mut headers = Vec::new();
@@ -88,6 +92,14 @@
     Ok(Some((head.slice_ref(first), Headers(headers))))
 }
 
+/// Makes room for the next read. Left to itself, a full buffer grows by a few bytes at a time.
+pub(super) fn roomy(buffer: &mut BytesMut) -> &mut BytesMut {
+    if buffer.capacity() - buffer.len() < 512 {
+        buffer.reserve(4096);
+    }
+    buffer
+}
+
 fn plain(b: &u8) -> bool {
     *b == b'\t' || (*b >= 0x20 && *b != 0x7f)
 }
--- a/sidecar/src/http/server.rs
+++ b/sidecar/src/http/server.rs
@@ -1,6 +1,6 @@
 //! The frontend's side of a connection: requests come in, one answer to each goes out.
 
-use super::message::{Body, Fault, Headers, MAX_BODY, take_head};
+use super::message::{Body, Fault, Headers, MAX_BODY, roomy, take_head};
 use bytes::{BufMut, Bytes, BytesMut};
 use std::time::Duration;
 
@@ -129,7 +129,7 @@
 impl Connection {
     /// The buffer that bytes are to be read into.
     pub fn buffer(&mut self) -> &mut BytesMut {
-        &mut self.buffer
+        roomy(&mut self.buffer)
     }
 
     /// Nothing of a request has come yet.
@@ -137,6 +137,11 @@
         matches!(self.phase, Phase::Head) && self.buffer.is_empty()
     }
 
+    /// Bytes lie unread that belong to a later request.
+    pub fn ahead(&self) -> bool {
+        !self.buffer.is_empty()
+    }
+
     /// No further request is taken.
     pub fn closed(&self) -> bool {
         matches!(self.phase, Phase::Closed)
--- a/sidecar/src/lib.rs
+++ b/sidecar/src/lib.rs
@@ -53,6 +53,7 @@
         fields: config.fields.into(),
         counters: counters.clone(),
     };
+    let classes = config.settings.classes.clone();
     let host = Host::new(carrier, config.settings, config.seed, ORIGIN, counters.clone())
         .map_err(io::Error::other)?;
     host.tell(Event::Start);
@@ -61,7 +62,7 @@
     if let Some(known) = known {
         host.tell(Event::Members { scope: ListScope::Remembered, entries: known.entries });
     }
-    let watch = discovery::watch(host.clone(), directory, config.discovery, index, counters.clone());
+    let watch = discovery::watch(host.clone(), directory.clone(), config.discovery, index, counters.clone());
     let watch = spawn_local(watch);
     let sweep = spawn_local(async move {
         loop {
@@ -69,7 +70,7 @@
             pool.sweep();
         }
     });
-    Frontend::new(host, config.net, shutdown, counters, to_clients).run(listener).await;
+    Frontend::new(host, directory, classes, config.net, shutdown, counters, to_clients).run(listener).await;
     watch.abort();
     sweep.abort();
     Ok(())
--- a/sidecar/src/main.rs
+++ b/sidecar/src/main.rs
@@ -35,10 +35,14 @@
 
 async fn serve(config: Config, counters: Rc<Counters>) -> std::io::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
     let shutdown = Rc::new(Shutdown::default());
     let begin = shutdown.clone();
     spawn_local(async move {
-        terminate.recv().await;
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
         begin.begin();
     });
     let listener = TcpListener::bind(config.listen).await?;
--- /dev/null
+++ b/sidecar/tests/parts.rs
@@ -0,0 +1,131 @@
+//! The parts that decide from documents: outcomes, the directory, time left, the configuration.
+mod common;
+
+use bytes::Bytes;
+use cometcroft::*;
+use cometcroft_settings::Field;
+use cometcroft_sidecar::config::Config;
+use cometcroft_sidecar::discovery::Directory;
+use cometcroft_sidecar::dispatch::{Stage, outcome, without_answer};
+use cometcroft_sidecar::frontend::time_left;
+use cometcroft_sidecar::http::client::Exchange;
+use cometcroft_sidecar::probe::report;
+use serde_json::json;
+use std::time::Duration;
+use tokio::time::Instant;
+
+#[test]
+fn only_a_marked_503_or_504_has_never_run() {
+    let ends = |status: u16, extra: &str| {
+        let mut exchange = Exchange::new(100);
+        let text = format!("HTTP/1.1 {status} x\r\n{extra}Content-Length: 0\r\n\r\n");
+        exchange.buffer().extend_from_slice(text.as_bytes());
+        outcome(&exchange.step(false).expect("well formed").expect("whole"))
+    };
+    assert_eq!(ends(200, ""), Outcome::Ok);
+    assert_eq!(ends(503, "X-Rejected: 1\r\n"), Outcome::Full);
+    assert_eq!(ends(504, "X-Rejected: 1\r\n"), Outcome::Full);
+    for (status, extra) in [(503, ""), (504, "X-Rejected: 0\r\n"), (500, "X-Rejected: 1\r\n"), (204, "")] {
+        assert_eq!(ends(status, extra), Outcome::Error, "{status}");
+    }
+    assert!(without_answer(Stage::Unwritten, true).never_ran());
+    assert!(without_answer(Stage::Unwritten, false).never_ran());
+    assert_eq!(without_answer(Stage::Written, true), Outcome::Timeout);
+    assert_eq!(without_answer(Stage::Written, false), Outcome::Reset);
+}
+
+#[test]
+fn the_directory_tells_drains_moves_and_starts() {
+    let directory =
+        Directory::new(vec!["a".into(), "b".into()], Duration::from_millis(250), Duration::from_secs(3600));
+    let entry = |name: &str, port: u16, status: &str| {
+        json!({"name": name, "address": format!("127.0.0.1:{port}"), "zone": "b", "type": "m", "group": 3,
+               "status": status, "weight": 1.5, "since_ms": 0})
+    };
+    let start = Instant::now();
+    let take = |value: serde_json::Value, ms| directory.take(&value, start + Duration::from_millis(ms));
+    let open = |id, ms| directory.open(UpstreamId(id), start + Duration::from_millis(ms));
+    let first =
+        json!({"index": 4, "snapshot": true, "endpoints": [entry("x", 1, "up"), entry("y", 2, "up")]});
+    let news = take(first, 0).expect("a list");
+    assert_eq!((news.index, news.scope, news.entries.len()), (4, ListScope::Complete, 2));
+    assert_eq!(
+        (news.entries[1].zone, news.entries[1].cell, news.entries[1].started),
+        (ZoneId(1), CellId(3), None)
+    );
+    // A drain closes within its grace and not at once; a second notice does not begin the grace anew.
+    let drain = json!({"index": 5, "snapshot": false, "endpoints": [entry("x", 1, "draining")]});
+    assert_eq!(take(drain.clone(), 1000).expect("a list").entries[0].upstream, UpstreamId(0));
+    assert!(open(0, 1050) && !open(0, 1240) && open(1, 1240));
+    take(drain, 1200);
+    assert!(!open(0, 1240));
+    // It may come back, elsewhere.
+    take(json!({"index": 6, "snapshot": false, "endpoints": [entry("x", 9, "up")]}), 2000);
+    assert!(open(0, 9999) && directory.address(UpstreamId(0)).is_some_and(|a| a.port() == 9));
+    // Who is absent from a whole list is gone; one that was never there needs no place.
+    let rest = json!({"index": 7, "snapshot": true, "endpoints": [entry("x", 9, "up"), {"name": "z", "status": "removed"}]});
+    assert_eq!(take(rest, 3000).expect("a list").entries.len(), 1);
+    assert!(open(0, 9999) && !open(1, 9999) && !open(2, 0));
+    // What can't be read changes nothing, not even in part.
+    let broken =
+        json!({"index": 8, "snapshot": true, "endpoints": [entry("x", 9, "draining"), entry("y", 2, "odd")]});
+    assert!(take(broken, 4000).is_none() && take(json!([]), 4000).is_none());
+    assert!(open(0, 9999));
+}
+
+#[test]
+fn a_start_keeps_its_time_on_the_clock() {
+    let directory = Directory::new(vec![], Duration::ZERO, Duration::from_secs(3600));
+    let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).expect("after 1970");
+    let list = json!({"index": 1, "snapshot": true, "endpoints": [{"name": "x", "address": "127.0.0.1:1",
+        "zone": "?", "status": "up", "since_ms": unix.as_millis() as u64}]});
+    let started = || directory.take(&list, Instant::now()).expect("a list").entries[0].started;
+    // The module takes another start for another process, so reading it again must not move it.
+    assert_eq!(started(), started());
+    assert!(started().is_some_and(|at| at > Duration::from_secs(3000)));
+}
+
+#[test]
+fn the_answer_is_due_before_the_client_gives_up() {
+    let ms = Duration::from_millis;
+    for (budget, gone) in [(3000, 0), (3000, 2999), (480, 5), (20, 0), (1, 0), (5, 900)] {
+        let (left, due) = time_left(ms(budget), ms(gone));
+        let remains = ms(budget).saturating_sub(ms(gone));
+        assert!(left <= due && due <= remains, "{budget} {gone}");
+        assert!(remains.is_zero() || left < remains);
+    }
+    assert_eq!(time_left(ms(3000), ms(0)), (ms(2940), ms(2970)));
+}
+
+#[test]
+fn a_report_holds_what_the_settings_name() {
+    let fields = [Field::Inflight, Field::Queue];
+    let read = report(br#"{"inflight":7,"queue":2,"util":0.61,"new":"x"}"#, &fields).expect("a report");
+    assert_eq!((read.inflight, read.queue, read.utilization), (Some(7.0), Some(2.0), None));
+    assert_eq!(report(&Bytes::from_static(b"{"), &fields), None);
+}
+
+#[test]
+fn a_bad_configuration_names_its_field_in_one_line() {
+    let good = common::config("127.0.0.1:0", "127.0.0.1:1", "null");
+    let none = |_: &str| None;
+    let config = Config::parse(&good, none).expect("good");
+    assert!(config.settings.limits.retry_after, "who is denied is told when to come back");
+    assert_eq!(config.net.classes, ["plan", "book", "pay"]);
+    let told = |name: &str| (name == "LB_NAME").then(|| "other".to_owned());
+    assert_eq!(Config::parse(&good, told).expect("good").name, "other");
+    for (from, to, field) in [
+        ("\"listen\"", "\"l\"", "listen"),
+        ("127.0.0.1:1", "nowhere", "discovery"),
+        ("\"seed\"", "\"s\"", "seed"),
+        ("\"settings\"", "\"s\"", "settings"),
+        ("\"step-ns\"", "\"s\"", "step-ns"),
+        ("\"conn-idle-ns\"", "\"s\"", "conn-idle-ns"),
+        ("\"sockets\":256", "\"sockets\":3", "limits.sockets"),
+        ("{", "", "LB_CONFIG"),
+    ] {
+        let error = Config::parse(&good.replacen(from, to, 1), none).expect_err(field).to_string();
+        assert!(error.contains(field) && !error.contains('\n'), "{field}: {error}");
+    }
+    assert_eq!(Config::load(none).expect_err("unset").field, "LB_CONFIG");
+}
--- /dev/null
+++ b/sidecar/tests/sessions.rs
@@ -0,0 +1,172 @@
+//! The session table against a model: random steps, and what the rules say holds after each.
+mod common;
+
+use cometcroft::*;
+use cometcroft_sidecar::counters::Counters;
+use cometcroft_sidecar::session::{Command, Ended, Opening, SessionId, Table, Verdict};
+use proptest::prelude::*;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+#[derive(Debug, Clone)]
+enum Do {
+    Open { class: usize, left: u64 },
+    End { which: usize, outcome: usize },
+    Withdraw(usize),
+    Overdue(usize),
+    Timer(usize),
+    Drain(u32),
+}
+
+fn step() -> impl Strategy<Value = (Do, u64)> {
+    let step = prop_oneof![
+        4 => (0..3usize, 0..3000u64).prop_map(|(class, left)| Do::Open { class, left }),
+        6 => (any::<usize>(), 0..6usize).prop_map(|(which, outcome)| Do::End { which, outcome }),
+        1 => any::<usize>().prop_map(Do::Withdraw),
+        1 => any::<usize>().prop_map(Do::Overdue),
+        2 => any::<usize>().prop_map(Do::Timer),
+        1 => (0..4u32).prop_map(Do::Drain),
+    ];
+    (step, 0..400u64)
+}
+
+const OUTCOMES: [Outcome; 6] =
+    [Outcome::Ok, Outcome::Error, Outcome::Full, Outcome::Timeout, Outcome::ConnectFailed, Outcome::Reset];
+
+/// What is known of a session from outside.
+#[derive(Default)]
+struct Model {
+    class: usize,
+    out: Option<u32>,
+    dispatched: u32,
+    may_have_run: bool,
+    /// Answers it got; a client that left counts as answered.
+    over: u32,
+    left: bool,
+}
+
+fn settings() -> Settings {
+    let mut settings = Settings::example();
+    let class = settings.classes[0].clone();
+    let keyed = Effect::Keyed { scope: DedupScope::All, window: Duration::from_secs(60) };
+    settings.classes =
+        [Effect::Safe, Effect::Unsafe, keyed].map(|e| Class { effect: e, ..class.clone() }).into();
+    settings.limits.second_copies = false;
+    settings.limits.max_attempts = 3;
+    settings
+}
+
+fn list(drained: Option<u32>) -> Event {
+    let entries = (0..4).map(|id| Member {
+        upstream: UpstreamId(id),
+        state: if drained == Some(id) { State::Draining } else { State::Ready },
+        weight: 1.0,
+        ..Member::default()
+    });
+    Event::Members { scope: ListScope::Complete, entries: entries.collect() }
+}
+
+fn check(
+    commands: Vec<Command<u8, u8>>,
+    models: &mut HashMap<SessionId, Model>,
+    timers: &mut Vec<Timer>,
+    drained: Option<u32>,
+) -> Result<(), TestCaseError> {
+    for command in commands {
+        match command {
+            Command::Dispatch { session, attempt, upstream, payload, .. } => {
+                let model = models.entry(session).or_default();
+                prop_assert_eq!(model.over, 0, "nothing is dispatched for what is over");
+                prop_assert_eq!(model.out, None, "never two at once");
+                prop_assert_eq!(attempt, model.dispatched);
+                prop_assert!(attempt < 3 && Some(upstream.0) != drained);
+                prop_assert!(payload != 1 || !model.may_have_run, "an unsafe class never runs twice");
+                (model.out, model.dispatched) = (Some(attempt), attempt + 1);
+            }
+            Command::Abandon(session) => {
+                let model = models.entry(session).or_default();
+                prop_assert!(model.out.take().is_some());
+                model.may_have_run = true;
+            }
+            Command::Answer(session, verdict) => {
+                let model = models.entry(session).or_default();
+                model.over += 1;
+                prop_assert_eq!(model.over, 1, "one final answer");
+                let denied = matches!(verdict, Verdict::Denied { .. });
+                prop_assert!(!denied || model.class != 1 || !model.may_have_run, "a denial is harmless");
+            }
+            Command::Forget(session) => {
+                let model = models.entry(session).or_default();
+                prop_assert!(model.over == 1 && model.out.is_none());
+            }
+            Command::Timer(_, timer) => timers.push(timer),
+            _ => {}
+        }
+    }
+    Ok(())
+}
+
+proptest! {
+    #![proptest_config(common::fixed(150))]
+
+    #[test]
+    fn every_session_gets_one_answer_and_the_rules_hold(steps in prop::collection::vec(step(), 1..120)) {
+        let counters = Rc::new(Counters::default());
+        let mut table: Table<u8, u8> = Table::new(settings(), 7, counters.clone()).expect("settings");
+        let (mut models, mut timers): (HashMap<SessionId, Model>, _) = (HashMap::new(), Vec::new());
+        let (mut now, mut drained) = (Duration::from_secs(3600), None);
+        check(table.tell(now, Event::Start), &mut models, &mut timers, drained)?;
+        check(table.tell(now, list(None)), &mut models, &mut timers, drained)?;
+        for (step, wait) in steps {
+            now += Duration::from_millis(wait);
+            let mut open: Vec<SessionId> =
+                models.iter().filter(|(_, m)| m.over == 0).map(|(&id, _)| id).collect();
+            open.sort_unstable();
+            let commands = match step {
+                Do::Open { class, left } => {
+                    let (left, id) = (Duration::from_millis(left), models.len() as u64);
+                    models.insert(id, Model { class, ..Model::default() });
+                    let payload = class as u8;
+                    let opening =
+                        Opening { class: ClassId(class), tenant: None, left, repeat: false, payload };
+                    let (given, commands) = table.open(now, opening);
+                    prop_assert_eq!(given, id);
+                    commands
+                }
+                Do::End { which, outcome } => {
+                    let Some(&id) = open.get(which % open.len().max(1)) else { continue };
+                    let Some(model) = models.get_mut(&id) else { continue };
+                    let Some(attempt) = model.out.take() else { continue };
+                    let outcome = OUTCOMES[outcome];
+                    model.may_have_run |= !outcome.never_ran();
+                    table.ended(now, id, attempt, Ended { outcome, report: None, answer: Some(1) })
+                }
+                Do::Withdraw(which) => {
+                    let Some(&id) = open.get(which % open.len().max(1)) else { continue };
+                    models.entry(id).and_modify(|m| (m.over, m.left) = (1, true));
+                    table.withdraw(now, id)
+                }
+                Do::Overdue(which) => {
+                    let Some(&id) = open.get(which % open.len().max(1)) else { continue };
+                    table.overdue(now, id)
+                }
+                Do::Timer(which) if timers.is_empty() || which == 0 => continue,
+                Do::Timer(which) => {
+                    let timer = timers.swap_remove(which % timers.len());
+                    table.tell(now, Event::Timer(timer))
+                }
+                Do::Drain(which) => {
+                    drained = Some(which);
+                    table.tell(now, list(drained))
+                }
+            };
+            check(commands, &mut models, &mut timers, drained)?;
+            let owed = models.values().filter(|m| m.over == 0).count();
+            prop_assert_eq!(table.owed(), owed);
+            // Whoever is owed an answer has a dispatch out: the module holds nothing back.
+            prop_assert!(models.values().all(|m| m.over > 0 || m.out.is_some()));
+        }
+        prop_assert_eq!(counters.invariants_broken.get(), 0);
+    }
+}
