--- /dev/null
+++ b/sidecar/tests/loopback.rs
@@ -0,0 +1,241 @@
+//! A whole sidecar on loopback: its clients, backend servers and discovery are a few lines each, played by
+//! the test itself, step by step.
+mod common;
+
+use cometcroft_sidecar::config::Config;
+use cometcroft_sidecar::counters::Counters;
+use cometcroft_sidecar::shutdown::Shutdown;
+use std::future::Future;
+use std::rc::Rc;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::{JoinHandle, LocalSet, spawn_local};
+
+/// A connection's other side, as text.
+struct Peer(TcpStream);
+
+impl Peer {
+    async fn to(sidecar: &Sidecar) -> Peer {
+        Peer(TcpStream::connect(&sidecar.address).await.expect("it listens"))
+    }
+
+    async fn say(&mut self, text: &str) {
+        self.0.write_all(text.as_bytes()).await.expect("it reads");
+    }
+
+    /// One message with its body, or what there was of it at the end.
+    async fn hear(&mut self) -> String {
+        let mut text = String::new();
+        loop {
+            if let Some(at) = text.find("\r\n\r\n") {
+                let length = text.split("Content-Length: ").nth(1).and_then(|l| l.lines().next());
+                if text.len() >= at + 4 + length.map_or(0, |l| l.parse().expect("a length")) {
+                    return text;
+                }
+            }
+            let mut bytes = [0; 4096];
+            match self.0.read(&mut bytes).await {
+                Ok(n @ 1..) => text.push_str(&String::from_utf8_lossy(&bytes[..n])),
+                _ => return text,
+            }
+        }
+    }
+}
+
+struct Sidecar {
+    address: String,
+    backend: TcpListener,
+    discovery: TcpListener,
+    counters: Rc<Counters>,
+    shutdown: Rc<Shutdown>,
+    ended: JoinHandle<std::io::Result<()>>,
+}
+
+/// Starts a sidecar that knows one backend server and plays a story with it.
+fn story<F: Future<Output = ()>>(told: impl FnOnce(Sidecar) -> F) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    LocalSet::new().block_on(&runtime, async {
+        let any = || TcpListener::bind("127.0.0.1:0");
+        let (backend, discovery, listener) =
+            (any().await.expect("a port"), any().await.expect("a port"), any().await.expect("a port"));
+        let at = |listener: &TcpListener| listener.local_addr().expect("an address").to_string();
+        let known = format!(
+            r#"{{"index":1,"snapshot":true,"endpoints":[{{"name":"s","address":"{}","zone":"a","status":"up"}}]}}"#,
+            at(&backend)
+        );
+        let text = common::config(&at(&listener), &at(&discovery), &known);
+        let config = Config::parse(&text, |_| None).expect("a configuration");
+        let (counters, shutdown) = (Rc::new(Counters::default()), Rc::new(Shutdown::default()));
+        let address = at(&listener);
+        let ended =
+            spawn_local(cometcroft_sidecar::run(config, listener, shutdown.clone(), counters.clone()));
+        told(Sidecar { address, backend, discovery, counters, shutdown, ended }).await;
+    });
+}
+
+async fn next(listener: &TcpListener) -> Peer {
+    Peer(listener.accept().await.expect("a connection").0)
+}
+
+const PLAN: &str = "GET /plan/1 HTTP/1.1\r\nHost: h\r\nX-Call-Id: 1\r\nX-Budget: 30000m\r\n\r\n";
+const BOOK: &str = "POST /book HTTP/1.1\r\nX-Call-Id: 2\r\nX-Budget: 30000m\r\nContent-Length: 2\r\n\r\nhi";
+
+#[test]
+fn a_request_goes_through_and_its_connections_are_kept() {
+    story(|sidecar| async move {
+        let mut client = Peer::to(&sidecar).await;
+        client.say("GET /up HTTP/1.1\r\n\r\n").await;
+        assert!(client.hear().await.starts_with("HTTP/1.1 200"));
+        client.say(PLAN).await;
+        let mut server = next(&sidecar.backend).await;
+        for body in ["one", "two"] {
+            let request = server.hear().await;
+            assert!(request.starts_with("GET /plan/1 HTTP/1.1\r\n") && request.contains("X-Call-Id: 1\r\n"));
+            server.say(&format!("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n{body}")).await;
+            let answer = client.hear().await;
+            assert!(answer.starts_with("HTTP/1.1 200") && answer.ends_with(body), "{answer}");
+            client.say(PLAN).await;
+        }
+        assert_eq!((sidecar.counters.backend_connections.get(), sidecar.counters.served.get()), (1, 2));
+        client.say("").await;
+    });
+}
+
+#[test]
+fn a_connection_that_was_closed_is_not_used_again() {
+    story(|sidecar| async move {
+        let mut client = Peer::to(&sidecar).await;
+        // What follows an answer unasked makes a connection as useless as its end does.
+        for after in ["", "HTTP/1.1 408 Late\r\n\r\n"] {
+            client.say(BOOK).await;
+            let mut server = next(&sidecar.backend).await;
+            assert!(server.hear().await.ends_with("\r\n\r\nhi"));
+            server.say("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await;
+            assert!(client.hear().await.starts_with("HTTP/1.1 200"));
+            server.say(after).await;
+            if after.is_empty() {
+                drop(server);
+            }
+        }
+        client.say(BOOK).await;
+        assert!(next(&sidecar.backend).await.hear().await.contains("/book"));
+        assert_eq!((sidecar.counters.dispatch_reset.get(), sidecar.counters.backend_reused.get()), (0, 0));
+        assert_eq!(sidecar.counters.backend_stale.get(), 2);
+    });
+}
+
+#[test]
+fn a_truncated_answer_is_a_reset_and_an_unsafe_request_fails_at_once() {
+    story(|sidecar| async move {
+        let mut client = Peer::to(&sidecar).await;
+        client.say(BOOK).await;
+        let mut server = next(&sidecar.backend).await;
+        server.hear().await;
+        server.say("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf").await;
+        drop(server);
+        let answer = client.hear().await;
+        assert!(answer.starts_with("HTTP/1.1 502") && !answer.contains("half"), "{answer}");
+        assert_eq!((sidecar.counters.dispatch_reset.get(), sidecar.counters.dispatches.get()), (1, 1));
+    });
+}
+
+#[test]
+fn who_is_turned_away_everywhere_is_denied_with_advice() {
+    story(|sidecar| async move {
+        let mut client = Peer::to(&sidecar).await;
+        client.say(BOOK).await;
+        let mut server = next(&sidecar.backend).await;
+        for _ in 0..3 {
+            server.hear().await;
+            server.say("HTTP/1.1 503 No\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n").await;
+        }
+        let answer = client.hear().await;
+        assert!(answer.starts_with("HTTP/1.1 503") && answer.contains("\r\nRetry-After: "), "{answer}");
+    });
+}
+
+#[test]
+fn a_client_that_leaves_takes_its_dispatch_along() {
+    story(|sidecar| async move {
+        let mut client = Peer::to(&sidecar).await;
+        client.say(PLAN).await;
+        let mut server = next(&sidecar.backend).await;
+        server.hear().await;
+        drop(client);
+        assert_eq!(server.hear().await, "", "its connection is closed");
+        assert_eq!((sidecar.counters.withdrawn.get(), sidecar.counters.dispatch_cancelled.get()), (1, 1));
+    });
+}
+
+#[test]
+fn what_can_not_be_a_request_is_never_dispatched() {
+    story(|sidecar| async move {
+        let head = "X-Call-Id: 1\r\nX-Budget: 100m\r\n";
+        for (line, head, status) in [
+            ("GET /plan HTTP/1.1", "X-Budget: 100m\r\n", 400),
+            ("GET /plan HTTP/1.1", "X-Call-Id: 1\r\n", 400),
+            ("GET /plan HTTP/1.1", "X-Call-Id: 1\r\nX-Budget: soon\r\n", 400),
+            ("GET /plan HTTP/1.1", "X-Call-Id: 1\r\nX-Call-Id: 1\r\nX-Budget: 9m\r\n", 400),
+            ("GET /nothing HTTP/1.1", head, 400),
+            ("POST /pay HTTP/1.1", head, 400),
+            ("POST /plan HTTP/1.1", "Content-Length: 70000\r\n", 413),
+            ("plan", head, 400),
+        ] {
+            let mut client = Peer::to(&sidecar).await;
+            client.say(&format!("{line}\r\n{head}\r\n")).await;
+            let answer = client.hear().await;
+            assert!(answer.starts_with(&format!("HTTP/1.1 {status} ")), "{line}: {answer}");
+            assert!(answer.contains("Connection: close\r\n"));
+            assert_eq!(client.hear().await, "", "the connection is closed");
+        }
+        assert_eq!((sidecar.counters.bad_requests.get(), sidecar.counters.sessions.get()), (8, 0));
+    });
+}
+
+#[test]
+fn a_bad_list_is_counted_and_the_last_one_kept() {
+    story(|sidecar| async move {
+        let mut discovery = next(&sidecar.discovery).await;
+        assert!(discovery.hear().await.starts_with("GET /discovery/hosts?from=1&hold_ms="));
+        discovery.say("HTTP/1.1 200 OK\r\nContent-Length: 13\r\n\r\n{\"index\":true").await;
+        // The module asks anew; a list that can be read is followed by the next call at once.
+        let mut discovery = next(&sidecar.discovery).await;
+        assert!(discovery.hear().await.contains("?from=1&"));
+        assert_eq!(sidecar.counters.discovery_bad.get(), 1);
+        let list = r#"{"index":7,"snapshot":false,"endpoints":[]}"#;
+        let length = list.len();
+        discovery.say(&format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{list}")).await;
+        assert!(discovery.hear().await.contains("?from=7&"));
+        let mut client = Peer::to(&sidecar).await;
+        client.say(PLAN).await;
+        assert!(next(&sidecar.backend).await.hear().await.contains("/plan"));
+    });
+}
+
+#[test]
+fn on_its_way_out_it_answers_all_and_takes_new_clients_for_a_while() {
+    story(|sidecar| async move {
+        let (mut busy, mut idle) = (Peer::to(&sidecar).await, Peer::to(&sidecar).await);
+        idle.say("GET /up HTTP/1.1\r\n\r\n").await;
+        assert!(idle.hear().await.starts_with("HTTP/1.1 200"));
+        busy.say(BOOK).await;
+        let mut server = next(&sidecar.backend).await;
+        server.hear().await;
+        sidecar.shutdown.begin();
+        assert_eq!(idle.hear().await, "", "an idle connection is closed");
+        let mut late = Peer::to(&sidecar).await;
+        late.say("GET /up HTTP/1.1\r\n\r\n").await;
+        assert!(late.hear().await.starts_with("HTTP/1.1 503"));
+        let mut late = Peer::to(&sidecar).await;
+        late.say(PLAN).await;
+        let mut second = next(&sidecar.backend).await;
+        second.hear().await;
+        for (server, client) in [(&mut second, &mut late), (&mut server, &mut busy)] {
+            assert!(!sidecar.ended.is_finished());
+            server.say("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await;
+            let answer = client.hear().await;
+            assert!(answer.starts_with("HTTP/1.1 200") && answer.contains("Connection: close"), "{answer}");
+        }
+        sidecar.ended.await.expect("no panic").expect("a clean end");
+    });
+}
