--- a/src/policy.rs
+++ b/src/policy.rs
@@ -129,6 +129,8 @@
     /// It fails or is slow: repeatable calls only.
     probation: bool,
     used: Time,
+    /// When it last answered anything, a probe included.
+    heard: Time,
     out: f64,
     /// What a cold upstream may still be sent.
     cold_left: f64,
@@ -590,7 +592,7 @@
             let (near, far) = (sums[0] / counts[0], sums[1] / counts[1]);
             let worth_it = 1.0 + 10.0 * self.settings.prices.cross_zone;
             let gap = (near - worth_it * far) / (near + far).max(1.0);
-            self.abroad = (self.abroad * (4.0 * since * gap).exp()).clamp(0.02, 1.0);
+            self.abroad = (self.abroad * (4.0 * since * gap).exp()).clamp(0.02, 0.4);
         }
         self.abroad
     }
@@ -680,6 +682,7 @@
 
     fn report(&mut self, now: Time, id: UpstreamId, report: Option<Report>) {
         let Some(report) = report else { return };
+        self.upstream_mut(id).into_iter().for_each(|up| up.heard = now);
         let load = match (report.inflight, report.queue) {
             (None, None) => report.utilization,
             (inflight, queue) => Some(inflight.unwrap_or(0.0) + queue.unwrap_or(0.0)),
@@ -724,6 +727,9 @@
         up.forget(now, memory);
         up.out = (up.out - 1.0).max(0.0);
         up.used = now;
+        if matches!(outcome, Outcome::Ok | Outcome::Error | Outcome::Full) {
+            up.heard = now;
+        }
         // Danger: one that takes no new connection may answer probes and old connections well, and each try
         // spends scarce budget. For a doubling wait it gets only as many calls as it has connections.
         // Covers crashes, cut zones and full tables; harms after a chance failure.
@@ -940,9 +946,22 @@
         let Limits { second_copies, cancel, .. } = self.settings.limits;
         // Second copies are mostly wasted, so there are fewer where waste has a price.
         let copies = (SPEND / self.settings.prices.waste.max(SPEND) / RETRY_SHARE).min(1.0);
+        // Danger: what runs long is mostly long by its own work, begun anew takes as long again, and what was
+        // done is wasted. So only an upstream is left that has said nothing since, and no first time.
+        let late = request
+            .attempts
+            .last()
+            .filter(|a| a.out)
+            .and_then(|a| Some((a.sent, self.upstream(a.upstream)?)));
+        let mute = late.is_some_and(|(sent, up)| up.heard < sent);
+        let given_up = late.is_some_and(|(_, up)| mute && up.silent[class] >= 2.0);
+        if mute && !given_up && !second_copies {
+            let after = now.saturating_sub(request.attempts[attempt].sent);
+            self.actions.push(Action::SetTimer { after, timer: Timer::Request(id) });
+        }
         let share = if second_copies { copies } else { self.retry_share(class) };
         if open
-            && (second_copies || cancel)
+            && (second_copies || cancel && given_up)
             && self.settings.classes[class].effect != Effect::Unsafe
             && self.retries.allows(now, share)
             && let Some(upstream) = self.pick(now, &request)
