--- a/src/policy.rs
+++ b/src/policy.rs
@@ -273,7 +273,7 @@
             answered: Time::ZERO,
             full: 0.0,
             refused: 0.0,
-            abroad: 0.5,
+            abroad: 0.4,
             began: Time::ZERO,
             warm_rate: 0.0,
             warm_known: false,
@@ -869,7 +869,9 @@
         // A queue gathers in one tier, which has but its part of the time. Danger: one that starts into an
         // overload would crowd every upstream before it learns any rate.
         let slow_start = 1.0 - 0.3 * fade(self.began, now, self.memory);
-        let timely = (0.36 + 0.96 / self.settings.tiers as f64) * 0.5 * self.ends.memory * slow_start;
+        // Danger: in a chain a crowded inner tier holds the slots of the tiers above, and what has choked
+        // stays slow long after; so the more tiers, the earlier work is shed.
+        let timely = 0.66 * (self.settings.tiers as f64).powf(-1.8) * self.ends.memory * slow_start;
         let punctual = aim.as_secs_f64() / self.tracks[class].floor.max(1e-6) * (1.0 + 0.5 * worth);
         // Danger: one that refuses all hears no answers and would go by the last bad ones for ever.
         let untold =
@@ -948,11 +950,8 @@
         let copies = (SPEND / self.settings.prices.waste.max(SPEND) / RETRY_SHARE).min(1.0);
         // Danger: what runs long is mostly long by its own work, begun anew takes as long again, and what was
         // done is wasted. So only an upstream is left that has said nothing since, and no first time.
-        let late = request
-            .attempts
-            .last()
-            .filter(|a| a.out)
-            .and_then(|a| Some((a.sent, self.upstream(a.upstream)?)));
+        let late = request.attempts.last().filter(|a| a.out);
+        let late = late.and_then(|a| Some((a.sent, self.upstream(a.upstream)?)));
         let mute = late.is_some_and(|(sent, up)| up.heard < sent);
         let given_up = late.is_some_and(|(_, up)| mute && up.silent[class] >= 2.0);
         if mute && !given_up && !second_copies {
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -444,6 +444,21 @@
     assert!(hits[0] >= 10, "{hits:?} of 150 each: the class it serves");
 }
 
+#[test]
+fn a_chain_sheds_earlier_than_one_tier() {
+    // Nothing ends any more and requests go on coming: how many are taken before one is refused?
+    let taken = |tiers| {
+        let mut d = Drive::new(Settings { tiers, ..Settings::example() }, (0..4).map(member).collect());
+        for _ in 0..60 {
+            d.call(0, |_| (Outcome::Ok, ms(60), load(1.0)));
+            d.pass(ms(10));
+        }
+        (0..400).take_while(|_| sent(&d.ask(0, ms(2000)).1).is_some()).count()
+    };
+    let (one, two, three) = (taken(1), taken(2), taken(3));
+    assert!(one > two && two >= three && three > 4, "{one}, {two} and {three} taken");
+}
+
 #[test]
 fn what_runs_long_on_an_upstream_that_answers_is_left_to_run() {
     let mut settings = Settings::example();
