Don't repeat a watch that discovery refused; tests of room for clients and of the program

Seen on reading discovery.rs: a call that failed on a kept connection was made once more at once, whatever the failure, so a busy discovery that answers 503 would get twice the calls when it can least take them. Now only a connection that is known to be closed before the call is replaced; a call that failed ends the watch and the module says when to ask again.

Tests: a refused watch is asked again once and by the module; at its share of descriptors the frontend closes the client that is idle longest and serves the new one; the program ends with code 2 and one line that names what is missing.

--- a/sidecar/src/backend.rs
+++ b/sidecar/src/backend.rs
@@ -138,7 +138,7 @@
 
 /// Neither its end nor bytes that nobody asked for have come. The runtime may not have heard of them yet, so
 /// the socket itself is asked.
-fn quiet(stream: &TcpStream) -> bool {
+pub(crate) fn quiet(stream: &TcpStream) -> bool {
     let mut byte = [MaybeUninit::uninit()];
     let peeked = socket2::SockRef::from(stream).peek(&mut byte);
     matches!(peeked, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
--- a/sidecar/src/discovery.rs
+++ b/sidecar/src/discovery.rs
@@ -1,5 +1,6 @@
 //! Discovery: the list of backend servers as last told, and the loop that watches it.
 
+use crate::backend::quiet;
 use crate::counters::{Counters, count};
 use crate::dispatch::{HttpCarrier, read_answer};
 use crate::http::client::{self, Exchange};
@@ -176,13 +177,7 @@
                 Some(index) => format!("/discovery/hosts?from={index}&hold_ms={hold}"),
                 None => "/discovery/hosts".to_owned(),
             };
-            let used = stream.is_some();
-            let mut called = timeout(HOLD + PATIENCE, call(&mut stream, address, &target)).await;
-            if used && matches!(called, Ok(Err(_))) {
-                // The connection may have been closed between two calls; that is no failed call yet.
-                count(&counters.discovery_calls);
-                called = timeout(HOLD + PATIENCE, call(&mut stream, address, &target)).await;
-            }
+            let called = timeout(HOLD + PATIENCE, call(&mut stream, address, &target)).await;
             let Ok(Ok((body, now))) = called else {
                 count(&counters.discovery_failures);
                 break;
@@ -204,7 +199,9 @@
     address: SocketAddr,
     target: &str,
 ) -> io::Result<(bytes::Bytes, Instant)> {
-    let mut stream = match kept.take() {
+    // Danger: a call on a connection that was closed after the last answer would count as one that failed. Only
+    // that is mended here: to repeat a call that discovery has seen would double its load when it has most.
+    let mut stream = match kept.take().filter(quiet) {
         Some(stream) => stream,
         None => timeout(Duration::from_secs(1), TcpStream::connect(address)).await??,
     };
--- a/sidecar/tests/loopback.rs
+++ b/sidecar/tests/loopback.rs
@@ -212,6 +212,58 @@
     });
 }
 
+#[test]
+fn a_refused_watch_is_not_repeated_and_a_closed_connection_is_no_failure() {
+    story(|sidecar| async move {
+        let list = r#"{"index":2,"snapshot":false,"endpoints":[]}"#;
+        let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len());
+        let mut discovery = next(&sidecar.discovery).await;
+        discovery.hear().await;
+        discovery.say(&answer).await;
+        assert!(discovery.hear().await.contains("?from=2&"));
+        // The next answer says that the connection ends with it: the call after it comes on another.
+        discovery.say(&answer.replace("\r\n\r\n", "\r\nConnection: close\r\n\r\n")).await;
+        let mut discovery = next(&sidecar.discovery).await;
+        discovery.hear().await;
+        assert_eq!(sidecar.counters.discovery_failures.get(), 0);
+        discovery.say("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n").await;
+        let mut discovery = next(&sidecar.discovery).await;
+        assert!(discovery.hear().await.contains("?from=2&"));
+        assert_eq!(
+            (sidecar.counters.discovery_failures.get(), sidecar.counters.discovery_calls.get()),
+            (1, 4)
+        );
+    });
+}
+
+#[test]
+fn past_its_share_of_descriptors_the_longest_idle_client_makes_room() {
+    story(|sidecar| async move {
+        let mut clients = Vec::new();
+        for _ in 0..150 {
+            let mut client = Peer::to(&sidecar).await;
+            client.say("GET /up HTTP/1.1\r\n\r\n").await;
+            assert!(client.hear().await.starts_with("HTTP/1.1 200"));
+            clients.push(client);
+        }
+        assert!(sidecar.counters.frontend_evicted.get() >= 30, "256 descriptors leave 114 for clients");
+        assert_eq!(clients[0].hear().await, "", "the first one was closed");
+        clients[149].say("GET /up HTTP/1.1\r\n\r\n").await;
+        assert!(clients[149].hear().await.starts_with("HTTP/1.1 200"));
+    });
+}
+
+#[test]
+fn the_program_names_what_is_wrong_with_its_configuration() {
+    let program = std::process::Command::new(env!("CARGO_BIN_EXE_cometcroft")).env_clear().output();
+    let output = program.expect("it starts");
+    let said = String::from_utf8_lossy(&output.stderr);
+    assert_eq!(
+        (output.status.code(), said.trim_end()),
+        (Some(2), "cometcroft: configuration: LB_CONFIG: is not set")
+    );
+}
+
 #[test]
 fn on_its_way_out_it_answers_all_and_takes_new_clients_for_a_while() {
     story(|sidecar| async move {
