--- a/sidecar/src/config.rs
+++ b/sidecar/src/config.rs
@@ -28,6 +28,12 @@
     ConfigError { field: field.to_owned(), reason: reason.to_string().replace('\n', " ") }
 }
 
+/// The text of the file that `LB_CONFIG` names.
+fn text(var: impl Fn(&str) -> Option<String>) -> Result<String, ConfigError> {
+    let path = var("LB_CONFIG").ok_or_else(|| bad("LB_CONFIG", "is not set"))?;
+    std::fs::read_to_string(&path).map_err(|e| bad("LB_CONFIG", e))
+}
+
 /// The configuration of one sidecar.
 #[derive(Debug, Clone)]
 pub struct Config {
@@ -54,14 +60,23 @@
 impl Config {
     /// Reads the environment through `var`, and the file that it names.
     pub fn load(var: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
-        let path = var("LB_CONFIG").ok_or_else(|| bad("LB_CONFIG", "is not set"))?;
-        let text = std::fs::read_to_string(&path).map_err(|e| bad("LB_CONFIG", e))?;
-        Config::parse(&text, var)
+        Config::parse(&text(&var)?, var)
+    }
+
+    /// Reads the file again. Danger: what the environment said of discovery at the start would hide where the
+    /// new file says that it has moved to, so there the file goes first.
+    pub fn reload(var: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
+        let value: Value = serde_json::from_str(&text(&var)?).map_err(|e| bad("LB_CONFIG", e))?;
+        let told = value.get("discovery").is_some();
+        Config::read(&value, |name| var(name).filter(|_| !told || name != "LB_DISCOVERY"))
     }
 
     /// Reads the configuration's text; what the environment says goes before it.
     pub fn parse(text: &str, var: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
-        let value: Value = serde_json::from_str(text).map_err(|e| bad("LB_CONFIG", e))?;
+        Config::read(&serde_json::from_str(text).map_err(|e| bad("LB_CONFIG", e))?, var)
+    }
+
+    fn read(value: &Value, var: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
         let told = |name: &str, field: &str| -> Result<String, ConfigError> {
             let file = || value.get(field).and_then(Value::as_str).map(str::to_owned);
             var(name).or_else(file).ok_or_else(|| bad(field, "is missing"))
--- a/sidecar/src/counters.rs
+++ b/sidecar/src/counters.rs
@@ -76,6 +76,10 @@
     discovery_failures,
     /// Discovery answers that could not be read.
     discovery_bad,
+    /// New configurations taken over.
+    reloads,
+    /// New configurations that could not be read; the old one was kept.
+    reload_failures,
     /// Invariants found broken.
     invariants_broken,
 }
--- a/sidecar/src/discovery.rs
+++ b/sidecar/src/discovery.rs
@@ -8,7 +8,7 @@
 use cometcroft::*;
 use cometcroft_settings::hash;
 use serde_json::Value;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
@@ -16,6 +16,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::time::{Instant, timeout};
 
 /// A list may be long; one beyond this is not read.
@@ -157,16 +158,41 @@
     }
 }
 
-/// Watches discovery whenever the module asks for it, until a call fails.
+/// Where discovery answers. A new configuration may move it while the sidecar runs.
+#[derive(Debug)]
+pub struct Source {
+    address: Cell<SocketAddr>,
+    moved: Notify,
+}
+
+impl Source {
+    /// Discovery at this address.
+    pub fn new(address: SocketAddr) -> Rc<Source> {
+        Rc::new(Source { address: Cell::new(address), moved: Notify::new() })
+    }
+
+    /// From now on discovery is to be asked here.
+    pub fn move_to(&self, address: SocketAddr) {
+        if self.address.replace(address) != address {
+            self.moved.notify_one();
+        }
+    }
+}
+
+/// Watches discovery whenever the module asks for it or discovery has moved, until a call fails.
 pub async fn watch(
     host: Rc<Host<HttpCarrier>>,
     directory: Rc<Directory>,
-    address: SocketAddr,
+    source: Rc<Source>,
     mut index: Option<i64>,
     counters: Rc<Counters>,
 ) {
     loop {
-        host.subscribed().await;
+        tokio::select! {
+            () = host.subscribed() => {}
+            // Danger: the module may be waiting out the failures of the old address.
+            () = source.moved.notified() => index = None,
+        }
         let mut stream = None;
         // A watch lasts while the next call follows the last answer at once. News that can't be read or a
         // call that failed ends it; the module says when to begin anew, and the last list is kept.
@@ -177,7 +203,17 @@
                 Some(index) => format!("/discovery/hosts?from={index}&hold_ms={hold}"),
                 None => "/discovery/hosts".to_owned(),
             };
-            let called = timeout(HOLD + PATIENCE, call(&mut stream, address, &target)).await;
+            let called = tokio::select! {
+                biased;
+                called = timeout(HOLD + PATIENCE, call(&mut stream, source.address.get(), &target)) => Some(called),
+                () = source.moved.notified() => None,
+            };
+            let Some(called) = called else {
+                // Danger: the old address goes silent soon, and its versions say nothing at the new one, which
+                // is asked for the whole list at once.
+                (stream, index) = (None, None);
+                continue;
+            };
             let Ok(Ok((body, now))) = called else {
                 count(&counters.discovery_failures);
                 break;
@@ -189,6 +225,8 @@
             index = Some(news.index);
             host.tell(Event::Members { scope: news.scope, entries: news.entries });
         }
+        // What the module asked for while a watch was on has been done; it is told now and asks anew.
+        host.unsubscribe();
         host.tell(Event::DiscoveryRefused);
     }
 }
--- a/sidecar/src/lib.rs
+++ b/sidecar/src/lib.rs
@@ -17,7 +17,7 @@
 use crate::backend::Pool;
 use crate::config::Config;
 use crate::counters::Counters;
-use crate::discovery::Directory;
+use crate::discovery::{Directory, Source};
 use crate::dispatch::HttpCarrier;
 use crate::frontend::Frontend;
 use crate::session::Host;
@@ -35,10 +35,11 @@
 /// Descriptors kept for the listener, discovery, the runtime and standard streams.
 const RESERVE: usize = 48;
 
-/// Runs a sidecar until `shutdown` has begun and all is answered.
+/// Runs a sidecar until `shutdown` has begun and all is answered. Discovery is asked at `source`.
 pub async fn run(
     config: Config,
     listener: TcpListener,
+    source: Rc<Source>,
     shutdown: Rc<Shutdown>,
     counters: Rc<Counters>,
 ) -> io::Result<()> {
@@ -62,7 +63,7 @@
     if let Some(known) = known {
         host.tell(Event::Members { scope: ListScope::Remembered, entries: known.entries });
     }
-    let watch = discovery::watch(host.clone(), directory.clone(), config.discovery, index, counters.clone());
+    let watch = discovery::watch(host.clone(), directory.clone(), source, index, counters.clone());
     let watch = spawn_local(watch);
     let sweep = spawn_local(async move {
         loop {
--- a/sidecar/src/main.rs
+++ b/sidecar/src/main.rs
@@ -1,8 +1,9 @@
-//! Starts one sidecar from its environment and ends it on SIGTERM.
+//! Starts one sidecar from its environment, reads its configuration again on SIGHUP and ends it on SIGTERM.
 #![forbid(unsafe_code)]
 
 use cometcroft_sidecar::config::Config;
-use cometcroft_sidecar::counters::Counters;
+use cometcroft_sidecar::counters::{Counters, count};
+use cometcroft_sidecar::discovery::Source;
 use cometcroft_sidecar::shutdown::Shutdown;
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -11,7 +12,7 @@
 use tokio::task::{LocalSet, spawn_local};
 
 fn main() -> ExitCode {
-    let config = match Config::load(|name| std::env::var(name).ok()) {
+    let config = match Config::load(variable) {
         Ok(config) => config,
         Err(error) => {
             eprintln!("cometcroft: configuration: {error}");
@@ -33,9 +34,31 @@
     }
 }
 
+fn variable(name: &str) -> Option<String> {
+    std::env::var(name).ok()
+}
+
 async fn serve(config: Config, counters: Rc<Counters>) -> std::io::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut hangup = signal(SignalKind::hangup())?;
+    let source = Source::new(config.discovery);
+    let (moving, counted) = (source.clone(), counters.clone());
+    spawn_local(async move {
+        while hangup.recv().await.is_some() {
+            // Danger: a file that makes no sense must not take down what serves; the old one stays in force.
+            match Config::reload(variable) {
+                Ok(config) => {
+                    count(&counted.reloads);
+                    moving.move_to(config.discovery);
+                }
+                Err(error) => {
+                    count(&counted.reload_failures);
+                    eprintln!("cometcroft: new configuration: {error}");
+                }
+            }
+        }
+    });
     let shutdown = Rc::new(Shutdown::default());
     let begin = shutdown.clone();
     spawn_local(async move {
@@ -46,5 +69,5 @@
         begin.begin();
     });
     let listener = TcpListener::bind(config.listen).await?;
-    cometcroft_sidecar::run(config, listener, shutdown, counters).await
+    cometcroft_sidecar::run(config, listener, source, shutdown, counters).await
 }
--- a/sidecar/src/session/host.rs
+++ b/sidecar/src/session/host.rs
@@ -79,6 +79,12 @@
         self.subscribe.notified().await;
     }
 
+    /// Drops what the module wanted of discovery until now.
+    pub fn unsubscribe(&self) {
+        let asked = std::pin::pin!(self.subscribe.notified());
+        asked.enable();
+    }
+
     /// How many sessions are owed an answer.
     pub fn owed(&self) -> usize {
         self.table.borrow().owed()
--- a/sidecar/tests/loopback.rs
+++ b/sidecar/tests/loopback.rs
@@ -4,6 +4,7 @@
 
 use cometcroft_sidecar::config::Config;
 use cometcroft_sidecar::counters::Counters;
+use cometcroft_sidecar::discovery::Source;
 use cometcroft_sidecar::shutdown::Shutdown;
 use std::future::Future;
 use std::rc::Rc;
@@ -46,6 +47,7 @@
     address: String,
     backend: TcpListener,
     discovery: TcpListener,
+    source: Rc<Source>,
     counters: Rc<Counters>,
     shutdown: Rc<Shutdown>,
     ended: JoinHandle<std::io::Result<()>>,
@@ -66,10 +68,10 @@
         let text = common::config(&at(&listener), &at(&discovery), &known);
         let config = Config::parse(&text, |_| None).expect("a configuration");
         let (counters, shutdown) = (Rc::new(Counters::default()), Rc::new(Shutdown::default()));
-        let address = at(&listener);
-        let ended =
-            spawn_local(cometcroft_sidecar::run(config, listener, shutdown.clone(), counters.clone()));
-        told(Sidecar { address, backend, discovery, counters, shutdown, ended }).await;
+        let (address, source) = (at(&listener), Source::new(config.discovery));
+        let run = cometcroft_sidecar::run(config, listener, source.clone(), shutdown.clone(), counters.clone());
+        let ended = spawn_local(run);
+        told(Sidecar { address, backend, discovery, source, counters, shutdown, ended }).await;
     });
 }
 
@@ -236,6 +238,71 @@
     });
 }
 
+#[test]
+fn discovery_that_moves_is_asked_for_the_whole_list_at_once() {
+    story(|sidecar| async move {
+        let mut old = next(&sidecar.discovery).await;
+        assert!(old.hear().await.contains("?from=1&"));
+        let moved = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        sidecar.source.move_to(moved.local_addr().expect("an address"));
+        let mut new = next(&moved).await;
+        assert!(new.hear().await.starts_with("GET /discovery/hosts HTTP/1.1"));
+        assert_eq!(old.hear().await, "", "the old call is given up");
+        let list = r#"{"index":1,"snapshot":false,"endpoints":[]}"#;
+        new.say(&format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len())).await;
+        assert!(new.hear().await.contains("?from=1&"));
+        assert_eq!(sidecar.counters.discovery_failures.get(), 0);
+        // The module waits out a failure; a move in that time is followed all the same.
+        drop((new, moved));
+        let again = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        sidecar.source.move_to(again.local_addr().expect("an address"));
+        assert!(next(&again).await.hear().await.starts_with("GET /discovery/hosts HTTP/1.1"));
+    });
+}
+
+/// A client of the program, which runs in a process of its own.
+fn ask(address: &str, path: &str) -> std::io::Result<String> {
+    use std::io::{Read, Write};
+    let mut stream = std::net::TcpStream::connect(address)?;
+    stream.write_all(format!("GET {path} HTTP/1.1\r\nConnection: close\r\n\r\n").as_bytes())?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer)?;
+    Ok(answer)
+}
+
+#[test]
+fn on_sighup_the_program_follows_the_file_and_outlives_a_bad_one() {
+    let any = || std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let at = |listener: &std::net::TcpListener| listener.local_addr().expect("an address").to_string();
+    let (old, new, listen) = (any(), any(), at(&any()));
+    let path = std::env::temp_dir().join(format!("cometcroft-{}.json", std::process::id()));
+    let file = |discovery: &str| {
+        std::fs::write(&path, common::config(&listen, discovery, "null")).expect("a file");
+    };
+    file(&at(&old));
+    let mut program = std::process::Command::new(env!("CARGO_BIN_EXE_cometcroft"))
+        .env("LB_CONFIG", &path)
+        .env("LB_DISCOVERY", at(&old))
+        .stderr(std::process::Stdio::null())
+        .spawn()
+        .expect("it starts");
+    let signal = |name: &str| {
+        let kill = format!("kill -{name} {}", program.id());
+        assert!(std::process::Command::new("sh").args(["-c", &kill]).status().expect("a shell").success());
+    };
+    let _watch = old.accept().expect("it asks");
+    std::fs::write(&path, "{").expect("a file");
+    signal("HUP");
+    while !ask(&listen, "/counters").expect("it serves on").contains("\"reload_failures\":1") {}
+    file(&at(&new));
+    signal("HUP");
+    new.accept().expect("it asks at the new address, whatever the environment says");
+    assert!(ask(&listen, "/counters").expect("it serves on").contains("\"reloads\":1"));
+    signal("TERM");
+    assert!(program.wait().expect("it ends").success());
+    std::fs::remove_file(&path).expect("a file");
+}
+
 #[test]
 fn past_its_share_of_descriptors_the_longest_idle_client_makes_room() {
     story(|sidecar| async move {
