Take spoilt answers for errors, tell them at once, and rest connections before reuse

Ruled out: sessions hanging on a spoilt answer (none in the trace lasted over 5 ms after its first byte); still nothing stood against a length that promises more than comes, noise without an end, or a body that ends with its connection. Now: Lack::Spoilt ends as Error and is counted; an answer that has begun must go on within 0.5 s; what can't begin an answer is refused at its first bytes; answers that are passed on must say where they end; 101 and more than 16 interim answers are refused; a connection rests 5 ms, so that a copy right behind is seen before the next request is written; a load report with an absurd figure says nothing.

--- a/sidecar/src/backend.rs
+++ b/sidecar/src/backend.rs
@@ -12,6 +12,10 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout_at};
 
+/// A connection is used again this long after its last answer at the earliest. Danger: some answers bring a
+/// second copy right behind, which would pass for the answer to the next request if that were written between.
+const SETTLE: Duration = Duration::from_millis(5);
+
 /// A connection that is in use; it counts against the limit until it is dropped or put back.
 #[derive(Debug)]
 pub struct Lease {
@@ -74,10 +78,10 @@
     fn reuse(&self, to: UpstreamId, address: SocketAddr) -> Option<TcpStream> {
         let mut idle = self.idle.borrow_mut();
         let kept = idle.get_mut(&to)?;
-        while let Some(Idle { stream, address: at, since }) = kept.pop() {
-            if at != address || since.elapsed() >= self.keep {
-                continue;
-            }
+        kept.retain(|c| c.address == address && c.since.elapsed() < self.keep);
+        let settled = |kept: &Vec<Idle>| kept.iter().rposition(|c| c.since.elapsed() >= SETTLE);
+        while let Some(at) = settled(kept) {
+            let stream = kept.remove(at).stream;
             if quiet(&stream) {
                 return Some(stream);
             }
--- a/sidecar/src/counters.rs
+++ b/sidecar/src/counters.rs
@@ -54,6 +54,8 @@
     dispatch_unconnected,
     /// Dispatches whose connection broke.
     dispatch_reset,
+    /// Answers that can't be read or don't belong to their request; these dispatches ended with an error.
+    answers_spoilt,
     /// Dispatches given up by the module.
     dispatch_cancelled,
     /// Dispatches of sessions that were over.
--- a/sidecar/src/dispatch.rs
+++ b/sidecar/src/dispatch.rs
@@ -18,7 +18,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 
 /// Brings dispatches and probes to backend servers over HTTP.
 #[derive(Clone)]
@@ -61,12 +61,32 @@
     Written,
 }
 
-/// What an attempt that got no answer proves. `late`: our time for it ran out, else its connection broke.
-pub fn without_answer(stage: Stage, late: bool) -> Outcome {
-    match (stage, late) {
+/// Why an attempt got no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Lack {
+    /// Our time for it ran out.
+    Late,
+    /// Its connection broke.
+    Broken,
+    /// What came can't be the answer to it.
+    Spoilt,
+}
+
+impl From<&io::Error> for Lack {
+    fn from(error: &io::Error) -> Lack {
+        if error.kind() == io::ErrorKind::InvalidData { Lack::Spoilt } else { Lack::Broken }
+    }
+}
+
+/// What an attempt that got no answer proves.
+pub fn without_answer(stage: Stage, lack: Lack) -> Outcome {
+    match (stage, lack) {
         (Stage::Unwritten, _) => Outcome::ConnectFailed,
-        (Stage::Written, true) => Outcome::Timeout,
-        (Stage::Written, false) => Outcome::Reset,
+        (Stage::Written, Lack::Late) => Outcome::Timeout,
+        (Stage::Written, Lack::Broken) => Outcome::Reset,
+        // Danger: taken for a reset it would tell of dead connections and of requests that kill whoever runs
+        // them; but the machine is alive and has answered, if badly.
+        (Stage::Written, Lack::Spoilt) => Outcome::Error,
     }
 }
 
@@ -84,13 +104,19 @@
         let stage = Cell::new(Stage::Unwritten);
         let message = || client::forward(request, ends.saturating_duration_since(Instant::now()));
         let answered = timeout_at(ends, self.exchange(to, message, ends, true, &stage)).await;
+        let unanswered = |lack| {
+            if lack == Lack::Spoilt {
+                count(&self.counters.answers_spoilt);
+            }
+            Ended { outcome: without_answer(stage.get(), lack), report: None, answer: None }
+        };
         match answered {
             Ok(Ok(answer)) => {
                 let report = answer.report().and_then(|text| probe::report(text, &self.fields));
                 Ended { outcome: outcome(&answer), report, answer: Some(answer) }
             }
-            Ok(Err(_)) => Ended { outcome: without_answer(stage.get(), false), report: None, answer: None },
-            Err(_) => Ended { outcome: without_answer(stage.get(), true), report: None, answer: None },
+            Ok(Err(error)) => unanswered((&error).into()),
+            Err(_) => unanswered(Lack::Late),
         }
     }
 
@@ -113,7 +139,7 @@
         }
         lease.stream.write_all(&message()).await?;
         stage.set(Stage::Written);
-        let mut exchange = Exchange::new(MAX_BODY);
+        let mut exchange = Exchange::delimited(MAX_BODY);
         let answer = read_answer(&mut lease.stream, &mut exchange).await?;
         if exchange.reusable() {
             self.pool.put(to, lease);
@@ -122,11 +148,20 @@
     }
 }
 
+/// An answer that has begun goes on within this time; whoever answers has all of it.
+const STALLED: Duration = Duration::from_millis(500);
+
 /// Reads one whole answer; an end before that is an error.
 pub(crate) async fn read_answer(stream: &mut TcpStream, exchange: &mut Exchange) -> io::Result<Answer> {
     let bad = |fault: Fault| io::Error::new(io::ErrorKind::InvalidData, format!("{fault:?}"));
     loop {
-        let ended = stream.read_buf(exchange.buffer()).await? == 0;
+        // Danger: a length that promises more than comes leaves the connection open and silent, and the session
+        // would wait out its whole time with none left to try again.
+        let begun = exchange.begun();
+        let read = stream.read_buf(exchange.buffer());
+        let read =
+            if begun { timeout(STALLED, read).await.map_err(|_| bad(Fault::Malformed))? } else { read.await };
+        let ended = read? == 0;
         if let Some(answer) = exchange.step(ended).map_err(bad)? {
             return Ok(answer);
         }
--- a/sidecar/src/http/client.rs
+++ b/sidecar/src/http/client.rs
@@ -36,12 +36,31 @@
     head: Option<(u16, Headers, Body)>,
     most: usize,
     keep: bool,
+    /// The answer must say where it ends.
+    delimited: bool,
+    /// Interim answers that have come.
+    interim: usize,
 }
 
+/// So many interim answers may come before the one that counts.
+const MAX_INTERIM: usize = 16;
+
 impl Exchange {
     /// An exchange whose answer holds no more than `most` bytes of body.
     pub fn new(most: usize) -> Exchange {
-        Exchange { buffer: BytesMut::with_capacity(1024), scanned: 0, head: None, most, keep: false }
+        let buffer = BytesMut::with_capacity(1024);
+        Exchange { buffer, scanned: 0, head: None, most, keep: false, delimited: false, interim: 0 }
+    }
+
+    /// The same for one that is passed on. Danger: a body that goes on until its connection ends looks whole
+    /// wherever the sender broke off.
+    pub fn delimited(most: usize) -> Exchange {
+        Exchange { delimited: true, ..Exchange::new(most) }
+    }
+
+    /// Part of the answer that counts has come.
+    pub fn begun(&self) -> bool {
+        self.head.is_some() || !self.buffer.is_empty()
     }
 
     /// The buffer that bytes are to be read into.
@@ -52,6 +71,10 @@
     /// Looks at what has come. `ended`: no more bytes will come.
     pub fn step(&mut self, ended: bool) -> Result<Option<Answer>, Fault> {
         while self.head.is_none() {
+            // Noise need not hold the end of a head; what can't begin an answer is not waited for.
+            if !self.buffer.iter().zip(b"HTTP/1.").all(|(came, due)| came == due) {
+                return Err(Fault::Malformed);
+            }
             let Some((line, headers)) = take_head(&mut self.buffer, &mut self.scanned)? else {
                 return Ok(None);
             };
@@ -61,6 +84,11 @@
             let status = status.ok_or(Fault::Malformed)?.iter().fold(0, |n, d| n * 10 + u16::from(d - b'0'));
             // Interim answers come before the one that counts.
             if (100..200).contains(&status) {
+                self.interim += 1;
+                // Nobody asked for another protocol.
+                if status == 101 || self.interim > MAX_INTERIM {
+                    return Err(Fault::Malformed);
+                }
                 continue;
             }
             let framed = Body::framed(&headers, self.most)?;
@@ -68,6 +96,7 @@
             let body = match framed {
                 _ if matches!(status, 204 | 304) => Body::Length(0),
                 Some(body) => body,
+                None if self.delimited => return Err(Fault::Malformed),
                 None => Body::UntilEnd,
             };
             self.head = Some((status, headers, body));
--- a/sidecar/src/probe.rs
+++ b/sidecar/src/probe.rs
@@ -1,7 +1,7 @@
 //! Probes: what a backend server says of its load.
 
 use crate::counters::count;
-use crate::dispatch::{HttpCarrier, Stage, without_answer};
+use crate::dispatch::{HttpCarrier, Lack, Stage, without_answer};
 use crate::http::client;
 use crate::session::Probed;
 use cometcroft::{Outcome, Report, UpstreamId};
@@ -14,6 +14,9 @@
 /// A probe is answered beside the queue; one that takes longer than this has told nothing in time.
 const PATIENCE: Duration = Duration::from_millis(300);
 
+/// No figure of a load report is higher than this.
+const MOST: f64 = 1e6;
+
 /// Probes a backend server.
 pub async fn ask(carrier: &HttpCarrier, to: UpstreamId) -> Probed {
     count(&carrier.counters.probes);
@@ -25,8 +28,8 @@
             let report = text.and_then(|text| report(text, &carrier.fields));
             (if answer.status == 200 { Outcome::Ok } else { Outcome::Error }, report)
         }
-        Ok(Err(_)) => (without_answer(stage.get(), false), None),
-        Err(_) => (without_answer(stage.get(), true), None),
+        Ok(Err(error)) => (without_answer(stage.get(), (&error).into()), None),
+        Err(_) => (without_answer(stage.get(), Lack::Late), None),
     };
     if probed.1.is_none() {
         count(&carrier.counters.probe_failures);
@@ -40,9 +43,12 @@
     let mut report = Report::default();
     for (name, figure) in value.as_object()? {
         let field = Field::named(name);
-        if let (Some(figure), true) = (figure.as_f64(), fields.contains(&field)) {
-            field.set(&mut report, figure);
+        if !fields.contains(&field) {
+            continue;
         }
+        // Danger: one absurd figure would make its backend server, or all the others, look idle for long.
+        let figure = figure.as_f64().filter(|figure| (0.0..=MOST).contains(figure))?;
+        field.set(&mut report, figure);
     }
     Some(report)
 }
