--- a/src/policy.rs
+++ b/src/policy.rs
@@ -17,11 +17,15 @@
 /// The most attempts an upstream is judged by.
 const JUDGED: f64 = 20.0;
 /// Further attempts, as a share of first attempts; second copies less, as waste has a price.
-const RETRY_SHARE: f64 = 0.1;
+const RETRY_SHARE: f64 = 0.2;
 /// Answers by which crowding is judged where few requests are out.
 const EVIDENCE: f64 = 8.0;
 /// Crowding, as a multiple of the uncrowded time, under which no class is refused.
 const CROWDED: f64 = 1.28;
+/// Requests out per core of the own share under which none is refused for crowding.
+const FREE_PER_CORE: f64 = 3.0;
+/// The least share of laps on which rows of other zones are visited, and the most.
+const ABROAD: (f64, f64) = (0.1, 0.4);
 /// Share of the result that second copies and probes may cost each.
 const SPEND: f64 = 0.004;
 /// Each upstream is walked by so many balancers, and each balancer walks so many rows at least.
@@ -273,7 +277,7 @@
             answered: Time::ZERO,
             full: 0.0,
             refused: 0.0,
-            abroad: 0.4,
+            abroad: ABROAD.1,
             began: Time::ZERO,
             warm_rate: 0.0,
             warm_known: false,
@@ -592,7 +596,7 @@
             let (near, far) = (sums[0] / counts[0], sums[1] / counts[1]);
             let worth_it = 1.0 + 10.0 * self.settings.prices.cross_zone;
             let gap = (near - worth_it * far) / (near + far).max(1.0);
-            self.abroad = (self.abroad * (4.0 * since * gap).exp()).clamp(0.02, 0.4);
+            self.abroad = (self.abroad * (4.0 * since * gap).exp()).clamp(ABROAD.0, ABROAD.1);
         }
         self.abroad
     }
@@ -884,7 +888,13 @@
         let limit =
             (punctual * usual).min((timely * (0.7 + 0.5 * worth)).max(usual * (CROWDED + 0.65 * worth)));
         // Danger: where queues are short, full upstreams turn all classes away alike before times rise.
-        let pressure = (time / limit).max(self.full / (0.1 + 0.9 * worth));
+        let full = self.full / (0.1 + 0.9 * worth);
+        // Danger: the last answers before a refusal of all are the slow ones and would keep it up, as no
+        // others follow; who has this little out crowds nobody, whatever they took.
+        let ups = self.rows.iter().filter_map(|&id| self.upstream(id));
+        let share = ups.map(|up| self.size(up) * up.part).sum::<f64>() / f64::from(self.settings.instances);
+        let few = self.requests.len() as f64 + 1.0 <= FREE_PER_CORE * share;
+        let pressure = if few { full } else { full.max(time / limit) };
         if untold { 0.0 } else { pressure }
     }
 
@@ -947,7 +957,7 @@
         }
         let Limits { second_copies, cancel, .. } = self.settings.limits;
         // Second copies are mostly wasted, so there are fewer where waste has a price.
-        let copies = (SPEND / self.settings.prices.waste.max(SPEND) / RETRY_SHARE).min(1.0);
+        let copies = (SPEND / self.settings.prices.waste.max(SPEND) / 0.1).min(1.0);
         // Danger: what runs long is mostly long by its own work, begun anew takes as long again, and what was
         // done is wasted. So only an upstream is left that has said nothing since, and no first time.
         let late = request.attempts.last().filter(|a| a.out);
@@ -1009,7 +1019,7 @@
         let left = request.deadline.saturating_sub(now).as_secs_f64();
         let class = &self.settings.classes[request.class];
         let repeatable = class.effect != Effect::Unsafe || request.may_have_run().is_none();
-        let free = outcome.never_ran() && !self.retries.binding;
+        let free = (outcome.never_ran() || moved > 0.0) && !self.retries.binding;
         let paid = free || self.retries.allows(now, self.retry_share(request.class).max(moved));
         // Danger: a request may bring down whatever begins it, and would go on to the next upstream. It
         // breaks soon after its send, twice or at a client's repeat; what died along has mostly run longer.
