--- a/src/policy.rs
+++ b/src/policy.rs
@@ -24,8 +24,10 @@
 const CROWDED: f64 = 1.28;
 /// Requests out per core of the own share under which none is refused for crowding.
 const FREE_PER_CORE: f64 = 3.0;
-/// The least share of laps on which rows of other zones are visited, and the most.
-const ABROAD: (f64, f64) = (0.1, 0.4);
+/// Rows of other zones are visited on this share of the laps at least, of so many where home holds over
+/// `CROWDED_HOME` requests a core, and at the most.
+const ABROAD: [f64; 3] = [0.02, 0.2, 0.4];
+const CROWDED_HOME: f64 = 2.0;
 /// Share of the result that second copies and probes may cost each.
 const SPEND: f64 = 0.004;
 /// Each upstream is walked by so many balancers, and each balancer walks so many rows at least.
@@ -277,7 +279,7 @@
             answered: Time::ZERO,
             full: 0.0,
             refused: 0.0,
-            abroad: ABROAD.1,
+            abroad: ABROAD[2],
             began: Time::ZERO,
             warm_rate: 0.0,
             warm_known: false,
@@ -596,7 +598,10 @@
             let (near, far) = (sums[0] / counts[0], sums[1] / counts[1]);
             let worth_it = 1.0 + 10.0 * self.settings.prices.cross_zone;
             let gap = (near - worth_it * far) / (near + far).max(1.0);
-            self.abroad = (self.abroad * (4.0 * since * gap).exp()).clamp(ABROAD.0, ABROAD.1);
+            // Danger: one full row abroad hides the idle ones from the mean.
+            let crowded = (near - CROWDED_HOME).clamp(0.0, 1.0);
+            let least = ABROAD[0] + (ABROAD[1] - ABROAD[0]) * crowded;
+            self.abroad = (self.abroad * (4.0 * since * gap).exp()).clamp(least, ABROAD[2]);
         }
         self.abroad
     }
