--- a/sidecar/src/config.rs
+++ b/sidecar/src/config.rs
@@ -5,6 +5,7 @@
 use serde_json::Value;
 use std::fmt;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 /// A field of the configuration that is missing or makes no sense.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -63,6 +64,11 @@
         Config::parse(&text(&var)?, var)
     }
 
+    /// The longest time that a client waits.
+    pub fn longest_deadline(&self) -> Duration {
+        self.settings.classes.iter().map(|class| class.deadline).max().unwrap_or_default()
+    }
+
     /// Reads the file again. Danger: what the environment said of discovery at the start would hide where the
     /// new file says that it has moved to, so there the file goes first.
     pub fn reload(var: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
--- a/sidecar/src/counters.rs
+++ b/sidecar/src/counters.rs
@@ -24,8 +24,12 @@
     frontend_connections,
     /// Connections that could not be accepted.
     accept_failures,
-    /// Idle client connections closed to make room.
+    /// Client connections with no open request closed to make room.
     frontend_evicted,
+    /// Client connections that sent nothing, or half a request, in time.
+    frontend_mute,
+    /// Requests with the id of one that is open.
+    repeated_ids,
     /// Requests rejected as malformed or oversized, never dispatched.
     bad_requests,
     /// Sessions taken in.
--- a/sidecar/src/frontend.rs
+++ b/sidecar/src/frontend.rs
@@ -8,11 +8,12 @@
 use crate::http::server::{Connection, Request, Status, Step};
 use crate::http::{Fault, MAX_BODY};
 use crate::session::{Host, Opening, Verdict};
-use crate::shutdown::{LINGER, Shutdown};
+use crate::shutdown::Shutdown;
+use bytes::Bytes;
 use cometcroft::{Class, ClassId, Effect, TenantId};
 use cometcroft_settings::Sockets;
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
@@ -20,10 +21,16 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
 /// A client that takes no bytes of its answer for so long is let go.
 const STALLED: Duration = Duration::from_secs(10);
+/// A request is whole so long after its connection or its first byte came, or it is turned away.
+const UNREADY: Duration = Duration::from_millis(2000);
+/// A connection that has brought no whole request for so long is the first to make room.
+const SLOW: Duration = Duration::from_millis(250);
+/// The longest id of a request.
+const MAX_ID: usize = 128;
 
 /// All client connections.
 pub struct Frontend {
@@ -36,11 +43,18 @@
     most: usize,
     open: Cell<usize>,
     left: Notify,
-    /// Connections between requests, the longest idle first.
-    idle: RefCell<BTreeMap<u64, Rc<Notify>>>,
+    /// Connections that owe a request, the longest waiting first.
+    waiting: RefCell<BTreeMap<u64, Waiting>>,
     turn: Cell<u64>,
-    /// The listener is closed: nobody waits for a first request any more.
-    ended: Cell<bool>,
+    /// The ids of all open requests.
+    ids: RefCell<HashSet<Bytes>>,
+}
+
+/// A connection with no open request.
+struct Waiting {
+    wake: Rc<Notify>,
+    /// Since when it has owed a whole request; `None` if it has been served and may be idle.
+    owes: Option<Instant>,
 }
 
 impl Frontend {
@@ -64,27 +78,19 @@
             most,
             open: Cell::new(0),
             left: Notify::new(),
-            idle: RefCell::default(),
+            waiting: RefCell::default(),
             turn: Cell::new(0),
-            ended: Cell::new(false),
+            ids: RefCell::default(),
         })
     }
 
     /// Accepts and serves until the sidecar leaves, and returns when all is answered.
     pub async fn run(self: Rc<Self>, listener: TcpListener) {
-        let ends = async {
-            self.shutdown.begun().await;
-            sleep(LINGER).await;
-        };
         tokio::select! {
             () = self.accept(&listener) => {}
-            () = ends => {}
+            () = self.shutdown.lingered() => {}
         }
         drop(listener);
-        self.ended.set(true);
-        for idle in self.idle.borrow().values() {
-            idle.notify_one();
-        }
         while self.open.get() > 0 {
             self.left.notified().await;
         }
@@ -95,12 +101,9 @@
             // Danger: past the limit of descriptors nothing works any more, so a place is made or awaited
             // before the next client is let in.
             while self.open.get() >= self.most {
-                let oldest = self.idle.borrow_mut().pop_first();
-                if let Some((_, oldest)) = oldest {
-                    count(&self.counters.frontend_evicted);
-                    oldest.notify_one();
-                }
-                self.left.notified().await;
+                self.evict();
+                // One that is woken may have just got its request and stay.
+                let _ = timeout(Duration::from_millis(10), self.left.notified()).await;
             }
             match listener.accept().await {
                 Ok((stream, _)) => {
@@ -121,28 +124,42 @@
         }
     }
 
+    /// Wakes the connection that can best be done without. Danger: hundreds that say nothing, or never end what
+    /// they say, would take the places of clients that do; so those go first, then who has been idle longest.
+    fn evict(&self) {
+        let mut waiting = self.waiting.borrow_mut();
+        let slow = |w: &Waiting| w.owes.is_some_and(|since| since.elapsed() >= SLOW);
+        let first =
+            |of: &dyn Fn(&Waiting) -> bool| waiting.iter().find(|(_, w)| of(w)).map(|(&turn, _)| turn);
+        let turn = first(&slow).or_else(|| first(&|w| w.owes.is_none())).or_else(|| first(&|_| true));
+        if let Some(waiting) = turn.and_then(|turn| waiting.remove(&turn)) {
+            count(&self.counters.frontend_evicted);
+            waiting.wake.notify_one();
+        }
+    }
+
     async fn connection(&self, mut stream: TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
         let mut machine = Connection::default();
-        let mut since = Instant::now();
-        let mut first = true;
+        let connected = Instant::now();
+        let (mut since, mut first) = (connected, true);
         while !machine.closed() {
             match machine.step() {
                 Step::More => {
                     let idle = machine.idle();
-                    if idle && self.shutdown.leaving() && (!first || self.ended.get()) {
-                        return Ok(());
-                    }
-                    let read = if idle {
-                        self.read_idle(&mut stream, &mut machine, first).await?
-                    } else {
-                        timeout_at(since + STALLED, stream.read_buf(machine.buffer())).await??
-                    };
-                    if read == 0 {
+                    if idle && self.shutdown.closing() {
                         return Ok(());
                     }
-                    if idle {
-                        since = Instant::now();
+                    let owes = if first { Some(connected) } else { (!idle).then_some(since) };
+                    match self.read(&mut stream, &mut machine, owes).await? {
+                        Read::Bytes if idle => since = Instant::now(),
+                        Read::Bytes => {}
+                        Read::Ended => return Ok(()),
+                        Read::Late if idle => return Ok(()),
+                        Read::Late => {
+                            let status = Status::RequestTimeout;
+                            reply(&mut stream, &mut machine, status, "", b"", true).await?;
+                        }
                     }
                 }
                 Step::Continue(bytes) => stream.write_all(bytes).await?,
@@ -172,24 +189,29 @@
         Ok(())
     }
 
-    /// Waits for the next request; 0 when the connection is to be closed.
-    async fn read_idle(
+    /// Reads more of a request that the connection `owes` since then, or waits for one that may never come.
+    async fn read(
         &self,
         stream: &mut TcpStream,
         machine: &mut Connection,
-        first: bool,
-    ) -> io::Result<usize> {
+        owes: Option<Instant>,
+    ) -> io::Result<Read> {
+        let idle = machine.idle();
         let turn = self.turn.replace(self.turn.get() + 1);
         let wake = Rc::new(Notify::new());
-        self.idle.borrow_mut().insert(turn, wake.clone());
+        self.waiting.borrow_mut().insert(turn, Waiting { wake: wake.clone(), owes });
+        let until = owes.unwrap_or_else(Instant::now) + UNREADY;
         let read = tokio::select! {
             biased;
-            read = stream.read_buf(machine.buffer()) => read,
-            () = wake.notified() => Ok(0),
-            // One that has just come in after SIGTERM has a request on the way.
-            () = self.shutdown.begun(), if !first => Ok(0),
+            read = stream.read_buf(machine.buffer()) => read.map(|n| if n > 0 { Read::Bytes } else { Read::Ended }),
+            () = wake.notified() => Ok(Read::Ended),
+            () = self.shutdown.closed(), if idle => Ok(Read::Ended),
+            () = sleep_until(until), if owes.is_some() => {
+                count(&self.counters.frontend_mute);
+                Ok(Read::Late)
+            }
         };
-        self.idle.borrow_mut().remove(&turn);
+        self.waiting.borrow_mut().remove(&turn);
         read
     }
 
@@ -202,10 +224,10 @@
         since: Instant,
     ) -> io::Result<Option<Instant>> {
         let mut early = machine.ahead().then_some(since);
-        let close = self.shutdown.leaving();
+        let close = self.shutdown.closing();
         if request.method == "GET" && request.path() == b"/up" {
             // Without a list there is nowhere to send a request to.
-            let ready = !close && !self.directory.is_empty();
+            let ready = !self.shutdown.leaving() && !self.directory.is_empty();
             let status = if ready { Status::Ok } else { Status::Unavailable };
             reply(stream, machine, status, "", b"", close).await?;
             return Ok(Some(early.unwrap_or_else(Instant::now)));
@@ -216,8 +238,12 @@
             reply(stream, machine, Status::Ok, extra, json.as_bytes(), close).await?;
             return Ok(Some(early.unwrap_or_else(Instant::now)));
         }
-        let (opening, due) = match self.opening(request, since) {
-            Ok(opening) => opening,
+        let taken = self.opening(request, since).and_then(|(opening, due)| {
+            let id = opening.payload.headers.single(CALL_ID)?.cloned().unwrap_or_default();
+            Ok((OpenId::take(self, id)?, opening, due))
+        });
+        let (_id, opening, due) = match taken {
+            Ok(taken) => taken,
             Err(fault) => {
                 count(&self.counters.bad_requests);
                 reply(stream, machine, fault.into(), "", b"", true).await?;
@@ -242,7 +268,7 @@
                 }
             }
         };
-        let close = self.shutdown.leaving();
+        let close = self.shutdown.closing();
         match verdict {
             Verdict::Served(Answer { headers, body, .. }) => {
                 let kind = headers.single("content-type").ok().flatten();
@@ -263,23 +289,31 @@
 
     /// What a request asks for, and when its answer is due at the latest.
     fn opening(&self, request: Request, since: Instant) -> Result<(Opening<Rc<Request>>, Instant), Fault> {
-        let id = request.headers.single("x-call-id")?;
-        if id.is_none_or(|id| id.is_empty()) {
+        let id = request.headers.single(CALL_ID)?;
+        if id.is_none_or(|id| id.is_empty() || id.len() > MAX_ID || !id.iter().all(u8::is_ascii_graphic)) {
             return Err(Fault::Malformed);
         }
         let class = self.net.classes.iter().position(|name| name.as_bytes() == request.class());
         let class = ClassId(class.ok_or(Fault::Malformed)?);
-        // Danger: without its key a keyed request is as unsafe to repeat as any other.
+        // Danger: the class alone says whether a request may be repeated; one that comes in another class's form
+        // is not what it says, and a keyed one without its key is as unsafe to repeat as any.
         let key = request.headers.single("idempotency-key")?;
-        let keyed = matches!(self.classes.get(class.0), Some(Class { effect: Effect::Keyed { .. }, .. }));
-        if keyed && key.is_none_or(|key| key.is_empty()) {
+        let formed = match self.classes.get(class.0).map(|class| class.effect) {
+            Some(Effect::Safe) => request.method == "GET" && request.body.is_empty(),
+            Some(Effect::Keyed { .. }) => request.method == "POST" && key.is_some_and(|key| !key.is_empty()),
+            Some(Effect::Unsafe) => request.method == "POST" && key.is_none(),
+            None => false,
+        };
+        if !formed {
             return Err(Fault::Malformed);
         }
         let caller = request.headers.single("x-caller")?;
         let tenant = caller.and_then(|c| self.net.tenants.iter().position(|t| t.as_bytes() == c));
         let repeat = request.headers.lists("x-again", "1");
         let (left, due) = time_left(request.budget()?, since.elapsed());
-        let due = Instant::now() + due;
+        let now = Instant::now();
+        let last = self.shutdown.due(now).map(|last| last.saturating_duration_since(now));
+        let (left, due) = (left.min(last.unwrap_or(left)), now + due.min(last.unwrap_or(due)));
         let payload = Rc::new(request);
         Ok((Opening { class, tenant: tenant.map(TenantId), left, repeat, payload }, due))
     }
@@ -306,6 +340,39 @@
     timeout_at(Instant::now() + STALLED, stream.write_all(&message)).await?
 }
 
+/// The header that holds a request's id.
+const CALL_ID: &str = "x-call-id";
+
+/// How a read of a client connection ended.
+enum Read {
+    Bytes,
+    /// By the client's end, or as room is needed, or on the way out.
+    Ended,
+    /// A request was owed and did not come in time.
+    Late,
+}
+
+/// The id of an open request, free again when dropped.
+struct OpenId<'a>(&'a Frontend, Bytes);
+
+impl<'a> OpenId<'a> {
+    /// Danger: two open requests of one id can't be told apart by anyone behind us, who would take one for a
+    /// copy of the other.
+    fn take(frontend: &'a Frontend, id: Bytes) -> Result<OpenId<'a>, Fault> {
+        if !frontend.ids.borrow_mut().insert(id.clone()) {
+            count(&frontend.counters.repeated_ids);
+            return Err(Fault::Malformed);
+        }
+        Ok(OpenId(frontend, id))
+    }
+}
+
+impl Drop for OpenId<'_> {
+    fn drop(&mut self) {
+        self.0.ids.borrow_mut().remove(&self.1);
+    }
+}
+
 /// A connection's place among all of them, given back when dropped.
 struct Seat(Rc<Frontend>);
 
--- a/sidecar/src/http/server.rs
+++ b/sidecar/src/http/server.rs
@@ -69,7 +69,7 @@
 pub enum Status {
     Ok,
     BadRequest,
-    NotFound,
+    RequestTimeout,
     TooLarge,
     HeadTooLarge,
     BadGateway,
@@ -82,7 +82,7 @@
         match self {
             Status::Ok => "200 OK",
             Status::BadRequest => "400 Bad Request",
-            Status::NotFound => "404 Not Found",
+            Status::RequestTimeout => "408 Request Timeout",
             Status::TooLarge => "413 Content Too Large",
             Status::HeadTooLarge => "431 Request Header Fields Too Large",
             Status::BadGateway => "502 Bad Gateway",
@@ -174,7 +174,10 @@
                 (Some(m), Some(t), Some(v), None) if !m.is_empty() => (m, t, v),
                 _ => return Err(Fault::Malformed),
             };
-            if !method.iter().all(u8::is_ascii_uppercase) || !target.starts_with(b"/") {
+            if !method.iter().all(u8::is_ascii_uppercase)
+                || !target.starts_with(b"/")
+                || !target.iter().all(u8::is_ascii_graphic)
+            {
                 return Err(Fault::Malformed);
             }
             let lasting = match version {
--- a/sidecar/src/main.rs
+++ b/sidecar/src/main.rs
@@ -59,7 +59,7 @@
             }
         }
     });
-    let shutdown = Rc::new(Shutdown::default());
+    let shutdown = Rc::new(Shutdown::new(config.longest_deadline()));
     let begin = shutdown.clone();
     spawn_local(async move {
         tokio::select! {
--- a/sidecar/src/shutdown.rs
+++ b/sidecar/src/shutdown.rs
@@ -1,37 +1,92 @@
-//! The end of a sidecar: on SIGTERM it stops reporting ready, serves on, and leaves when all is answered.
+//! The end of a sidecar: on SIGTERM it stops reporting ready, serves on, closes idle connections, and leaves when
+//! all is answered.
 
 use std::cell::Cell;
 use std::time::Duration;
 use tokio::sync::Notify;
+use tokio::time::Instant;
 
-/// New connections are taken for so long after SIGTERM. The front and clients may go on using this sidecar
-/// for up to 0.7 s; whoever comes later has been told to go elsewhere.
-pub const LINGER: Duration = Duration::from_millis(1000);
+/// Whoever sends SIGTERM waits for the longest deadline, counted as this if it is longer, ...
+const LONGEST: Duration = Duration::from_secs(3);
+/// ... and for this before SIGKILL. Until then the front may go on sending new connections.
+const NOTICE: Duration = Duration::from_millis(700);
+/// A request that came after the notice is answered so long before SIGKILL may come.
+const SPARE: Duration = Duration::from_millis(300);
+/// Time for the last requests that are taken, before that.
+const LAST: Duration = Duration::from_millis(900);
+/// What was sent so long ago may be read only now.
+const LATE: Duration = Duration::from_millis(100);
+/// New requests are taken for so long at the least.
+const LINGER: Duration = Duration::from_millis(1000);
 
-/// Whether the sidecar is on its way out.
-#[derive(Debug, Default)]
+/// Whether the sidecar is on its way out, and how far it is.
+#[derive(Debug)]
 pub struct Shutdown {
-    leaving: Cell<bool>,
+    begun: Cell<Option<Instant>>,
+    closing: Cell<bool>,
     changed: Notify,
+    kill: Duration,
 }
 
 impl Shutdown {
-    /// Whether SIGTERM has come.
+    /// One that has not begun, where clients wait for so long at most.
+    pub fn new(longest_deadline: Duration) -> Shutdown {
+        let kill = longest_deadline.min(LONGEST) + NOTICE;
+        Shutdown { begun: Cell::new(None), closing: Cell::new(false), changed: Notify::new(), kill }
+    }
+
+    /// SIGTERM has come: it isn't ready any more.
     pub fn leaving(&self) -> bool {
-        self.leaving.get()
+        self.begun.get().is_some()
+    }
+
+    /// No further request is taken: idle connections close, and answers say so.
+    pub fn closing(&self) -> bool {
+        self.closing.get()
     }
 
     /// SIGTERM has come.
     pub fn begin(&self) {
-        self.leaving.set(true);
+        if !self.leaving() {
+            self.begun.set(Some(Instant::now()));
+        }
         self.changed.notify_waiters();
     }
 
     /// Waits for SIGTERM.
     pub async fn begun(&self) {
-        let changed = self.changed.notified();
-        if !self.leaving() {
+        self.until(Shutdown::leaving).await;
+    }
+
+    /// Waits until no further request is taken.
+    pub async fn closed(&self) {
+        self.until(Shutdown::closing).await;
+    }
+
+    async fn until(&self, reached: impl Fn(&Shutdown) -> bool) {
+        loop {
+            let changed = self.changed.notified();
+            if reached(self) {
+                return;
+            }
             changed.await;
         }
     }
+
+    /// Waits for SIGTERM and then for as long as requests are taken. Danger: clients keep the connections that
+    /// they have, and in their zone there may be nobody else for now; closed at once, they are left with none.
+    pub async fn lingered(&self) {
+        self.begun().await;
+        tokio::time::sleep(self.kill.saturating_sub(SPARE + LAST).max(LINGER)).await;
+        self.closing.set(true);
+        self.changed.notify_waiters();
+    }
+
+    /// When a request that comes now is to be answered at the latest. Danger: SIGKILL loses what came after the
+    /// notice and is unanswered, whatever time its client has left.
+    pub fn due(&self, now: Instant) -> Option<Instant> {
+        let begun = self.begun.get()?;
+        // A little early, as its clock and ours may be read at different moments.
+        (now.saturating_duration_since(begun) + LATE >= NOTICE).then(|| begun + (self.kill - SPARE))
+    }
 }
--- a/sidecar/tests/loopback.rs
+++ b/sidecar/tests/loopback.rs
@@ -67,7 +67,7 @@
         );
         let text = common::config(&at(&listener), &at(&discovery), &known);
         let config = Config::parse(&text, |_| None).expect("a configuration");
-        let (counters, shutdown) = (Rc::new(Counters::default()), Rc::new(Shutdown::default()));
+        let (counters, shutdown) = (Rc::new(Counters::default()), Rc::new(Shutdown::new(config.longest_deadline())));
         let (address, source) = (at(&listener), Source::new(config.discovery));
         let run = cometcroft_sidecar::run(config, listener, source.clone(), shutdown.clone(), counters.clone());
         let ended = spawn_local(run);
@@ -213,6 +213,12 @@
             ("GET /nothing HTTP/1.1", head, 400),
             ("POST /pay HTTP/1.1", head, 400),
             ("POST /plan HTTP/1.1", "Content-Length: 70000\r\n", 413),
+            ("POST /plan HTTP/1.1", head, 400),
+            ("GET /book HTTP/1.1", head, 400),
+            ("GET /pay HTTP/1.1", "X-Call-Id: 1\r\nX-Budget: 9m\r\nIdempotency-Key: k\r\n", 400),
+            ("POST /book HTTP/1.1", "X-Call-Id: 1\r\nX-Budget: 9m\r\nIdempotency-Key: k\r\n", 400),
+            ("GET /plan/\u{e9} HTTP/1.1", head, 400),
+            ("GET /plan HTTP/1.1", "X-Call-Id: a b\r\nX-Budget: 9m\r\n", 400),
             ("plan", head, 400),
         ] {
             let mut client = Peer::to(&sidecar).await;
@@ -222,7 +228,55 @@
             assert!(answer.contains("Connection: close\r\n"));
             assert_eq!(client.hear().await, "", "the connection is closed");
         }
-        assert_eq!((sidecar.counters.bad_requests.get(), sidecar.counters.sessions.get()), (8, 0));
+        assert_eq!((sidecar.counters.bad_requests.get(), sidecar.counters.sessions.get()), (14, 0));
+    });
+}
+
+#[test]
+fn an_id_that_is_open_is_refused_until_it_is_answered() {
+    story(|sidecar| async move {
+        let (mut client, mut other) = (Peer::to(&sidecar).await, Peer::to(&sidecar).await);
+        client.say(PLAN).await;
+        let mut server = next(&sidecar.backend).await;
+        server.hear().await;
+        other.say(PLAN).await;
+        assert!(other.hear().await.starts_with("HTTP/1.1 400 "));
+        server.say("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await;
+        assert!(client.hear().await.starts_with("HTTP/1.1 200 "));
+        client.say(PLAN).await;
+        assert!(next(&sidecar.backend).await.hear().await.contains("/plan"));
+        assert_eq!((sidecar.counters.repeated_ids.get(), sidecar.counters.sessions.get()), (1, 2));
+    });
+}
+
+#[test]
+fn who_says_nothing_or_half_of_it_is_let_go_and_makes_room_before_who_is_served() {
+    story(|sidecar| async move {
+        let (mut served, mut half) = (Peer::to(&sidecar).await, Peer::to(&sidecar).await);
+        served.say("GET /up HTTP/1.1\r\n\r\n").await;
+        assert!(served.hear().await.starts_with("HTTP/1.1 200"));
+        half.say("GET /plan HTTP/1.1\r\nX-Call").await;
+        let mut mute = Peer::to(&sidecar).await;
+        let mut crowd = Vec::new();
+        for _ in 0..110 {
+            crowd.push(Peer::to(&sidecar).await);
+        }
+        // All of these have been slow by the time that more come than there is room for.
+        tokio::time::sleep(std::time::Duration::from_millis(400)).await;
+        for _ in 0..60 {
+            crowd.push(Peer::to(&sidecar).await);
+        }
+        assert_eq!(half.hear().await, "", "the first to make room");
+        assert_eq!(mute.hear().await, "", "and the next");
+        served.say("GET /up HTTP/1.1\r\n\r\n").await;
+        assert!(served.hear().await.starts_with("HTTP/1.1 200"));
+        let (mut half, mut mute) = (Peer::to(&sidecar).await, crowd.pop().expect("one of them"));
+        half.say("POST /book HTTP/1.1\r\nX-Call").await;
+        assert_eq!(mute.hear().await, "", "let go without a word");
+        assert!(half.hear().await.starts_with("HTTP/1.1 408 "));
+        assert!(sidecar.counters.frontend_mute.get() >= 2);
+        served.say("GET /up HTTP/1.1\r\n\r\n").await;
+        assert!(served.hear().await.starts_with("HTTP/1.1 200"), "who has been served may be idle");
     });
 }
 
@@ -373,14 +427,17 @@
         let mut server = next(&sidecar.backend).await;
         server.hear().await;
         sidecar.shutdown.begin();
-        assert_eq!(idle.hear().await, "", "an idle connection is closed");
-        let mut late = Peer::to(&sidecar).await;
-        late.say("GET /up HTTP/1.1\r\n\r\n").await;
-        assert!(late.hear().await.starts_with("HTTP/1.1 503"));
+        idle.say("GET /up HTTP/1.1\r\n\r\n").await;
+        let answer = idle.hear().await;
+        assert!(
+            answer.starts_with("HTTP/1.1 503") && !answer.contains("close"),
+            "not ready, but it serves on"
+        );
         let mut late = Peer::to(&sidecar).await;
-        late.say(PLAN).await;
+        late.say(&PLAN.replace(": 1", ": 3")).await;
         let mut second = next(&sidecar.backend).await;
         second.hear().await;
+        assert_eq!(idle.hear().await, "", "an idle connection is closed in the end");
         for (server, client) in [(&mut second, &mut late), (&mut server, &mut busy)] {
             assert!(!sidecar.ended.is_finished());
             server.say("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await;
--- a/sidecar/tests/parts.rs
+++ b/sidecar/tests/parts.rs
@@ -12,6 +12,7 @@
 use cometcroft_sidecar::frontend::time_left;
 use cometcroft_sidecar::http::client::Exchange;
 use cometcroft_sidecar::probe::report;
+use cometcroft_sidecar::shutdown::Shutdown;
 use serde_json::json;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -82,6 +83,23 @@
     });
 }
 
+#[test]
+fn on_the_way_out_late_requests_are_due_before_the_kill() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build();
+    runtime.expect("a runtime").block_on(async {
+        let shutdown = Shutdown::new(Duration::from_secs(8));
+        let begun = Instant::now();
+        assert_eq!(shutdown.due(begun), None);
+        shutdown.begin();
+        assert!(shutdown.leaving() && !shutdown.closing());
+        assert_eq!(shutdown.due(begun + Duration::from_millis(300)), None);
+        let last = begun + Duration::from_millis(3400);
+        assert_eq!(shutdown.due(begun + Duration::from_millis(700)), Some(last));
+        shutdown.lingered().await;
+        assert!(shutdown.closing() && begun.elapsed() > Duration::from_millis(700) && Instant::now() < last);
+    });
+}
+
 #[test]
 fn an_absurd_load_report_says_nothing() {
     let fields = [Field::Inflight, Field::Queue];
