Let what is gone leave every table: directory and module

Now a removed server leaves the directory at once and gets a new id if it comes back, as what is still out to the old one must not be taken for its successor's; the module keeps it until nothing of it is out and its memory has passed. A keyed request whose first server has left the table may still be repeated where all of the tier drop repeats.

--- a/sidecar/src/discovery.rs
+++ b/sidecar/src/discovery.rs
@@ -9,7 +9,7 @@
 use cometcroft_settings::hash;
 use serde_json::Value;
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -36,8 +36,10 @@
 /// Where the backend servers are and which of them take nothing new. Told by discovery alone.
 #[derive(Debug)]
 pub struct Directory {
-    entries: RefCell<Vec<Entry>>,
+    entries: RefCell<BTreeMap<UpstreamId, Entry>>,
     ids: RefCell<HashMap<String, UpstreamId>>,
+    /// The next id. Danger: what is still out to one that is gone would be taken for its successor's.
+    next: Cell<u32>,
     zones: Vec<String>,
     /// No first byte goes out so long after the notice of a drain.
     grace: Duration,
@@ -63,6 +65,7 @@
         Directory {
             entries: RefCell::default(),
             ids: RefCell::default(),
+            next: Cell::new(0),
             zones,
             // Written here is not yet arrived there, and both clocks may be held up.
             grace: drain_grace.mul_f64(0.5),
@@ -70,20 +73,25 @@
         }
     }
 
-    /// No backend server has been named yet.
+    /// No backend server is named.
     pub fn is_empty(&self) -> bool {
         self.entries.borrow().is_empty()
     }
 
+    /// How many backend servers are named.
+    pub fn len(&self) -> usize {
+        self.entries.borrow().len()
+    }
+
     /// The present address of a backend server.
     pub fn address(&self, id: UpstreamId) -> Option<SocketAddr> {
-        self.entries.borrow().get(id.0 as usize).map(|e| e.address)
+        self.entries.borrow().get(&id).map(|e| e.address)
     }
 
     /// Whether a request may still be begun there.
     pub fn open(&self, id: UpstreamId, now: Instant) -> bool {
         let entries = self.entries.borrow();
-        let closed = entries.get(id.0 as usize).map(|e| e.closed);
+        let closed = entries.get(&id).map(|e| e.closed);
         closed.is_some_and(|closed| closed.is_none_or(|at| now.saturating_duration_since(at) < self.grace))
     }
 
@@ -95,33 +103,38 @@
             value.get("endpoints")?.as_array()?.iter().map(|e| self.entry(e)).collect::<Option<_>>()?;
         let (mut entries, mut ids) = (self.entries.borrow_mut(), self.ids.borrow_mut());
         let mut members = Vec::with_capacity(parsed.len());
-        let mut listed = vec![false; entries.len()];
+        let mut listed = HashSet::with_capacity(parsed.len());
         for (name, address, mut member) in parsed {
-            let id = *ids.entry(name.to_owned()).or_insert(UpstreamId(entries.len() as u32));
-            let at = id.0 as usize;
-            if at == entries.len() {
-                let Some(address) = address else {
-                    // Gone before we heard of it: an id for it would have no place.
-                    ids.remove(name);
-                    continue;
-                };
-                entries.push(Entry { address, closed: None });
-                listed.push(true);
-            }
-            listed[at] = true;
-            let entry = &mut entries[at];
-            entry.address = address.unwrap_or(entry.address);
-            entry.closed = match member.state {
+            let id = match (ids.get(name), address) {
+                (Some(&id), _) => id,
+                (None, Some(_)) if member.state != State::Gone => {
+                    let id = UpstreamId(self.next.replace(self.next.get() + 1));
+                    ids.insert(name.to_owned(), id);
+                    id
+                }
+                // Gone before we heard of it.
+                _ => continue,
+            };
+            listed.insert(id);
+            let known = entries.get(&id);
+            let closed = match member.state {
                 State::Ready => None,
-                _ => Some(entry.closed.unwrap_or(now)),
+                _ => Some(known.and_then(|e| e.closed).unwrap_or(now)),
             };
+            if let Some(address) = address.or(known.map(|e| e.address)) {
+                entries.insert(id, Entry { address, closed });
+            }
+            if member.state == State::Gone {
+                // Nothing new goes there, and no table may grow with every machine that ever was.
+                entries.remove(&id);
+                ids.remove(name);
+            }
             member.upstream = id;
             members.push(member);
         }
         if whole {
-            for (entry, _) in entries.iter_mut().zip(listed).filter(|(_, listed)| !listed) {
-                entry.closed = Some(entry.closed.unwrap_or(now));
-            }
+            entries.retain(|id, _| listed.contains(id));
+            ids.retain(|_, id| listed.contains(id));
         }
         let scope = if whole { ListScope::Complete } else { ListScope::Changes };
         Some(News { index, scope, entries: members })
--- a/sidecar/tests/parts.rs
+++ b/sidecar/tests/parts.rs
@@ -142,6 +142,10 @@
     let rest = json!({"index": 7, "snapshot": true, "endpoints": [entry("x", 9, "up"), {"name": "z", "status": "removed"}]});
     assert_eq!(take(rest, 3000).expect("a list").entries.len(), 1);
     assert!(open(0, 9999) && !open(1, 9999) && !open(2, 0));
+    // One that comes back under its name after that is another.
+    let back = json!({"index": 8, "snapshot": false, "endpoints": [entry("y", 2, "up")]});
+    assert_eq!(take(back, 3500).expect("a list").entries[0].upstream, UpstreamId(2));
+    assert!(open(2, 9999) && !open(1, 9999));
     // What can't be read changes nothing, not even in part.
     let broken =
         json!({"index": 8, "snapshot": true, "endpoints": [entry("x", 9, "draining"), entry("y", 2, "odd")]});
@@ -149,6 +153,23 @@
     assert!(open(0, 9999));
 }
 
+#[test]
+fn the_directory_holds_only_what_is_listed() {
+    let directory = Directory::new(vec![], Duration::ZERO, Duration::ZERO);
+    let entry =
+        |n: u32, status: &str| json!({"name": n.to_string(), "address": "127.0.0.1:1", "status": status});
+    for n in 0..1000u32 {
+        let changes =
+            json!([entry(n, "up"), entry(n.saturating_sub(1), if n > 0 { "removed" } else { "up" })]);
+        let list = json!({"index": n, "snapshot": false, "endpoints": changes});
+        assert_eq!(directory.take(&list, Instant::now()).expect("a list").entries.len(), 2);
+        assert_eq!(directory.len(), 1);
+    }
+    assert!(
+        directory.open(UpstreamId(999), Instant::now()) && !directory.open(UpstreamId(998), Instant::now())
+    );
+}
+
 #[test]
 fn a_start_keeps_its_time_on_the_clock() {
     let directory = Directory::new(vec![], Duration::ZERO, Duration::from_secs(3600));
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -217,8 +217,8 @@
 pub struct Balancer {
     settings: Settings,
     rng: fastrand::Rng,
-    /// Indexed by id; `None` was never listed.
-    upstreams: Vec<Option<Upstream>>,
+    /// All that are listed, and for a while what is gone.
+    upstreams: BTreeMap<UpstreamId, Upstream>,
     /// The snapshot: ready upstreams, shortest reported load first.
     rows: Vec<UpstreamId>,
     cursor: usize,
@@ -266,7 +266,7 @@
         };
         Ok(Balancer {
             rng: fastrand::Rng::with_seed(seed),
-            upstreams: Vec::new(),
+            upstreams: BTreeMap::new(),
             rows: Vec::new(),
             cursor: 0,
             requests: BTreeMap::new(),
@@ -374,12 +374,17 @@
         self.actions.push(Action::SetTimer { after: self.settings.step, timer: Timer::Refresh });
     }
 
+    /// How many upstreams it keeps account of.
+    pub fn listed(&self) -> usize {
+        self.upstreams.len()
+    }
+
     fn upstream(&self, id: UpstreamId) -> Option<&Upstream> {
-        self.upstreams.get(id.0 as usize)?.as_ref()
+        self.upstreams.get(&id)
     }
 
     fn upstream_mut(&mut self, id: UpstreamId) -> Option<&mut Upstream> {
-        self.upstreams.get_mut(id.0 as usize)?.as_mut()
+        self.upstreams.get_mut(&id)
     }
 
     // ---- The list of upstreams -------------------------------------------------------------------------
@@ -390,7 +395,7 @@
         }
         if scope != ListScope::Changes {
             let listed: BTreeSet<UpstreamId> = entries.iter().map(|e| e.upstream).collect();
-            for id in (0..self.upstreams.len()).map(|id| UpstreamId(id as u32)) {
+            for id in self.upstreams.keys().copied().collect::<Vec<_>>() {
                 if let Some(up) = self.upstream_mut(id).filter(|_| !listed.contains(&id)) {
                     up.member.state = State::Gone;
                     self.let_go(id);
@@ -398,10 +403,6 @@
             }
         }
         for entry in entries {
-            let id = entry.upstream.0 as usize;
-            if self.upstreams.len() <= id {
-                self.upstreams.resize_with(id + 1, || None);
-            }
             // Danger: many balancers that save up for a whole call would all spend it in the same second.
             let cold_left = self.rng.f64();
             let classes = self.settings.classes.len();
@@ -415,7 +416,7 @@
                 cold_at: now,
                 ..Upstream::default()
             };
-            let up = self.upstreams[id].get_or_insert_with(fresh);
+            let up = self.upstreams.entry(entry.upstream).or_insert_with(fresh);
             let drained = up.drained && entry.state == State::Gone;
             if up.member.started != entry.started {
                 *up = fresh();
@@ -457,13 +458,14 @@
         let memory = self.memory;
         self.rows.clear();
         let alone = self.settings.rules.drain_binds_alone;
-        for (id, up) in self.upstreams.iter_mut().enumerate() {
-            if let Some(up) = up
-                && up.may_be_sent_to(alone)
-            {
-                up.forget(now, memory);
-                self.rows.push(UpstreamId(id as u32));
-            }
+        // Danger: where new upstreams replace old ones for ever, the gone must leave the table.
+        self.upstreams.retain(|_, up| {
+            let gone = up.member.state == State::Gone && !up.may_be_sent_to(alone) && up.out < 0.5;
+            !gone || now.saturating_sub(up.judged).as_secs_f64() < memory
+        });
+        for (&id, up) in self.upstreams.iter_mut().filter(|(_, up)| up.may_be_sent_to(alone)) {
+            up.forget(now, memory);
+            self.rows.push(id);
         }
         self.cursor = 0;
         self.cover(now);
@@ -652,11 +654,12 @@
         let Some(up) = self.upstream(id).filter(|up| up.may_be_sent_to(alone)) else { return false };
         // Rule 2: a keyed request that may have run goes only to those who drop its repeat, while they do.
         if let (Effect::Keyed { scope, window }, Some(first)) = (class.effect, request.may_have_run()) {
-            let same = self.upstream(first.upstream).is_some_and(|ran| match scope {
+            let ran = self.upstream(first.upstream).map(|ran| &ran.member);
+            let same = match scope {
                 DedupScope::All => true,
-                DedupScope::Zone => up.member.zone == ran.member.zone,
-                DedupScope::Cell => up.member.cell == ran.member.cell,
-            });
+                DedupScope::Zone => ran.is_some_and(|ran| up.member.zone == ran.zone),
+                DedupScope::Cell => ran.is_some_and(|ran| up.member.cell == ran.cell),
+            };
             if !same || now.saturating_sub(first.sent) + self.settings.step * 2 >= window {
                 return false;
             }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -394,6 +394,20 @@
     assert!(run(&mut d, 60, 150) >= 45, "and it takes calls again");
 }
 
+#[test]
+fn what_is_gone_leaves_the_table() {
+    let mut d = Drive::new(Settings::example(), (0..3).map(member).collect());
+    for id in 3..200 {
+        let gone = Member { state: State::Gone, ..member(id - 3) };
+        d.tell(Event::Members { scope: ListScope::Changes, entries: vec![gone, member(id)] });
+        for _ in 0..20 {
+            assert!(d.call(0, |_| (Outcome::Ok, ms(30), load(1.0))).expect("taken").0 + 3 > id);
+            d.pass(ms(50));
+        }
+        assert!(d.balancer.listed() <= 3 + 20, "{} after {id}", d.balancer.listed());
+    }
+}
+
 #[test]
 fn slow_answers_alone_refuse_nobody_while_little_is_out() {
     // Two cores of its own share, and the last answers were the slow ones of a jam that is over.
