--- a/sidecar/src/counters.rs
+++ b/sidecar/src/counters.rs
@@ -78,6 +78,8 @@
     probe_failures,
     /// Discovery calls.
     discovery_calls,
+    /// Discovery calls that were never answered and were made again at once.
+    discovery_silent,
     /// Discovery calls that failed.
     discovery_failures,
     /// Discovery answers that could not be read.
--- a/sidecar/src/discovery.rs
+++ b/sidecar/src/discovery.rs
@@ -21,10 +21,11 @@
 
 /// A list may be long; one beyond this is not read.
 const MAX_LIST: usize = 4 << 20;
-/// How long a watch waits at discovery for news.
-const HOLD: Duration = Duration::from_secs(20);
-/// How long an answer may take beyond that.
-const PATIENCE: Duration = Duration::from_secs(3);
+/// How long a watch waits at discovery for news. Danger: a connection may fall silent, and until the wait ends
+/// nobody can tell that from a list that does not change.
+const HOLD: Duration = Duration::from_secs(4);
+/// How long an answer may take beyond that. News counts as told 2 s after the wait, so this leaves time to ask anew.
+const PATIENCE: Duration = Duration::from_secs(1);
 
 #[derive(Debug)]
 struct Entry {
@@ -206,7 +207,7 @@
             // Danger: the module may be waiting out the failures of the old address.
             () = source.moved.notified() => index = None,
         }
-        let mut stream = None;
+        let (mut stream, mut silent) = (None, false);
         // A watch lasts while the next call follows the last answer at once. News that can't be read or a
         // call that failed ends it; the module says when to begin anew, and the last list is kept.
         loop {
@@ -227,6 +228,13 @@
                 (stream, index) = (None, None);
                 continue;
             };
+            if called.is_err() && !silent {
+                // The connection has fallen silent; another one may not, and the news is due soon.
+                count(&counters.discovery_silent);
+                (stream, silent) = (None, true);
+                continue;
+            }
+            silent = false;
             let Ok(Ok((body, now))) = called else {
                 count(&counters.discovery_failures);
                 break;
--- a/sidecar/tests/loopback.rs
+++ b/sidecar/tests/loopback.rs
@@ -346,6 +346,21 @@
     });
 }
 
+#[test]
+fn a_watch_that_falls_silent_is_asked_again_elsewhere_at_once() {
+    story(|sidecar| async move {
+        let mut mute = next(&sidecar.discovery).await;
+        let call = mute.hear().await;
+        let hold = call.split("hold_ms=").nth(1).and_then(|rest| rest.split(' ').next()).expect("it waits");
+        assert!(hold.parse::<u64>().expect("a time") <= 4000, "news counts as told 2 s after the wait");
+        let mut again = next(&sidecar.discovery).await;
+        assert_eq!(again.hear().await, call);
+        assert_eq!(mute.hear().await, "", "the silent one is closed");
+        let counters = &sidecar.counters;
+        assert_eq!((counters.discovery_silent.get(), counters.discovery_failures.get()), (1, 0));
+    });
+}
+
 /// A client of the program, which runs in a process of its own.
 fn ask(address: &str, path: &str) -> std::io::Result<String> {
     use std::io::{Read, Write};
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -458,9 +458,10 @@
         let memory = self.memory;
         self.rows.clear();
         let alone = self.settings.rules.drain_binds_alone;
-        // Danger: where new upstreams replace old ones for ever, the gone must leave the table.
+        // Danger: where new upstreams replace old ones for ever, the gone must leave the table. Where
+        // draining alone binds they stay, as the mark of their drain does.
         self.upstreams.retain(|_, up| {
-            let gone = up.member.state == State::Gone && !up.may_be_sent_to(alone) && up.out < 0.5;
+            let gone = !alone && up.member.state == State::Gone && up.out < 0.5;
             !gone || now.saturating_sub(up.judged).as_secs_f64() < memory
         });
         for (&id, up) in self.upstreams.iter_mut().filter(|(_, up)| up.may_be_sent_to(alone)) {
@@ -483,12 +484,12 @@
             figures[(figures.len() - 1) / part]
         };
         let usual_slow = lowest(2, ups().map(|up| (up.slow + PRIOR) / (up.ended + PRIOR)).collect());
-        // Failures are held against the best third. Danger: where over half of all rows are bad for this
-        // balancer alone, the median is bad too and none is ejected. Trouble that all share still ejects
+        // Failures are held against the best row. Danger: where all but one have died and the list does not
+        // say so yet, a middle figure is bad too and none is ejected. Trouble that all share still ejects
         // none, as each is shrunk towards the mean of all first.
         let all = ups().map(|up| up.failed).sum::<f64>() / ups().map(|up| up.ended).sum::<f64>().max(1.0);
         let shrunk = |up: &Upstream| (up.failed + PRIOR * all) / (up.ended + PRIOR);
-        let usual_failed = lowest(3, ups().map(shrunk).collect());
+        let usual_failed = ups().map(shrunk).fold(f64::INFINITY, f64::min);
         let usual_silent = |class: usize| 0.9 + 2.0 * lowest(3, ups().map(|up| up.silent[class]).collect());
         let usual_silent = (0..self.settings.classes.len()).map(usual_silent).collect();
         let spread = mean.sqrt().max(1.0);
@@ -627,6 +628,10 @@
             / self.rows.len().max(1) as f64;
         // First the sound rows that are not crowded, then sound rows, then any that the rules allow.
         for (strict, crowd) in [(true, CROWDED_ROW * out_each), (true, f64::MAX), (false, f64::MAX)] {
+            // Danger: a sound row whose turn is far off would lose its calls to those that fail them.
+            if !strict && let Some(id) = self.soundest(now, request) {
+                return Some(id);
+            }
             for _ in 0..self.rows.len() * 2 {
                 let id = self.rows[self.cursor];
                 self.cursor = (self.cursor + 1) % self.rows.len();
@@ -648,6 +653,14 @@
         rows.into_iter().find(|&id| self.may_take(now, id, request, false))
     }
 
+    /// The sound row whose turn is next, however far off.
+    fn soundest(&mut self, now: Time, request: &Request) -> Option<UpstreamId> {
+        let rows = self.rows.clone();
+        let sound: Vec<_> = rows.into_iter().filter(|&id| self.may_take(now, id, request, true)).collect();
+        let credit = |id: &UpstreamId| self.upstream(*id).map_or(0.0, |up| up.credit);
+        sound.into_iter().max_by(|a, b| credit(a).total_cmp(&credit(b)))
+    }
+
     fn may_take(&mut self, now: Time, id: UpstreamId, request: &Request, strict: bool) -> bool {
         let class = &self.settings.classes[request.class];
         let alone = self.settings.rules.drain_binds_alone;
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -394,6 +394,29 @@
     assert!(run(&mut d, 60, 150) >= 45, "and it takes calls again");
 }
 
+#[test]
+fn the_last_that_serves_gets_the_calls_though_the_list_still_names_those_that_died() {
+    let settings = Settings { weights: WeightKind::Size, ..Settings::example() };
+    let weight = |id| if id < 3 { 2.0 } else { 1.0 };
+    let members = (0..4).map(|id| Member { weight: weight(id), ..member(id) });
+    let mut d = Drive::new(settings, members.collect());
+    let mut spent = 0;
+    for n in 0..400 {
+        let (id, actions) = d.ask(0, ms(2000));
+        let (mut to, mut attempt) = (sent(&actions), 0);
+        while let Some(upstream) = to {
+            // Three die one after the other; their last reports stay low, as nobody hears of them again.
+            let good = upstream.0 == 3 || n < 50 * (upstream.0 + 1);
+            spent += u32::from(n >= 250);
+            let (outcome, report) = if good { (Outcome::Ok, load(4.0)) } else { (Outcome::Full, None) };
+            to = sent(&d.end_with(id, attempt, upstream, outcome, ms(20), report));
+            attempt += 1;
+        }
+        d.pass(ms(30));
+    }
+    assert!(spent <= 210, "{spent} attempts for 150 calls");
+}
+
 #[test]
 fn what_is_gone_leaves_the_table() {
     let mut d = Drive::new(Settings::example(), (0..3).map(member).collect());
