--- a/src/policy.rs
+++ b/src/policy.rs
@@ -23,13 +23,14 @@
 /// Crowding, as a multiple of the uncrowded time, under which no class is refused.
 const CROWDED: f64 = 1.28;
 /// Requests out per core of the own share under which none is refused for crowding.
-const FREE_PER_CORE: f64 = 3.0;
+const FREE_PER_CORE: f64 = 4.0;
 /// Rows of other zones are visited on this share of the laps at least, of so many where home holds over
 /// `CROWDED_HOME` requests a core, and at the most.
 const ABROAD: [f64; 3] = [0.02, 0.2, 0.4];
 const CROWDED_HOME: f64 = 2.0;
-/// Share of the result that second copies and probes may cost each.
+/// Share of the result that second copies may cost, and probes: half, as reports are renewed seldom.
 const SPEND: f64 = 0.004;
+const SPEND_PROBES: f64 = 0.002;
 /// Each upstream is walked by so many balancers, and each balancer walks so many rows at least.
 const COVER: f64 = 12.0;
 const LEAST_ROWS: f64 = 4.0;
@@ -809,7 +810,8 @@
         if !self.settings.limits.probes || self.settings.reports != ReportSource::Probes {
             return;
         }
-        let share = (SPEND / self.settings.prices.probe.max(SPEND)).min(0.5);
+        let price = self.settings.prices.probe.max(SPEND_PROBES);
+        let share = (SPEND_PROBES / price).min(0.5);
         let since = now.saturating_sub(self.refreshed).as_secs_f64();
         let earned = self.calls.get(now) * share * since;
         self.probe_budget = (self.probe_budget + earned).min(self.rows.len() as f64);
