--- /dev/null
+++ b/crates/platform/src/tokio_rt.rs
@@ -0,0 +1,81 @@
+//! The platform of the daemon: tokio on one thread, inside a `LocalSet`. The only place that may call its clock,
+//! sockets and tasks directly; `clippy.toml` keeps the other packages to that.
+#![allow(clippy::disallowed_methods)]
+
+use crate::{Listener, Platform, Stream, Task};
+use std::future::Future;
+use std::io;
+use std::mem::MaybeUninit;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinHandle;
+
+/// tokio's sockets, clock and local tasks; must be used inside a `LocalSet`.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Tokio;
+
+/// A local task of tokio.
+#[derive(Debug)]
+pub struct Local(JoinHandle<()>);
+
+impl Future for Local {
+    type Output = ();
+    fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<()> {
+        Pin::new(&mut self.0).poll(cx).map(|_| ())
+    }
+}
+
+impl Task for Local {
+    fn abort(&self) {
+        self.0.abort();
+    }
+}
+
+impl Stream for TcpStream {
+    fn set_nodelay(&self) -> io::Result<()> {
+        TcpStream::set_nodelay(self, true)
+    }
+
+    fn quiet(&self) -> bool {
+        // The runtime may not have heard of them yet, so the socket itself is asked.
+        let mut byte = [MaybeUninit::uninit()];
+        let peeked = socket2::SockRef::from(self).peek(&mut byte);
+        matches!(peeked, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+    }
+}
+
+impl Listener for TcpListener {
+    type Stream = TcpStream;
+    async fn accept(&self) -> io::Result<TcpStream> {
+        Ok(TcpListener::accept(self).await?.0)
+    }
+}
+
+impl Platform for Tokio {
+    type Stream = TcpStream;
+    type Listener = TcpListener;
+    type Task = Local;
+
+    fn now(&self) -> Instant {
+        tokio::time::Instant::now().into_std()
+    }
+
+    fn unix(&self) -> Duration {
+        SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
+    }
+
+    fn sleep_until(&self, at: Instant) -> impl Future<Output = ()> + 'static {
+        tokio::time::sleep_until(at.into())
+    }
+
+    fn spawn(&self, task: impl Future<Output = ()> + 'static) -> Local {
+        Local(tokio::task::spawn_local(task))
+    }
+
+    fn connect(&self, to: SocketAddr) -> impl Future<Output = io::Result<TcpStream>> {
+        TcpStream::connect(to)
+    }
+}
--- a/crates/sidecar/src/backend.rs
+++ b/crates/sidecar/src/backend.rs
@@ -2,40 +2,37 @@
 
 use crate::counters::{Counters, count};
 use cometcroft::UpstreamId;
+use cometcroft_platform::{Platform, Stream};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::io;
-use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
-use tokio::net::TcpStream;
-use tokio::time::{Instant, timeout_at};
+use std::time::{Duration, Instant};
 
 /// A connection is used again this long after its last answer at the earliest. Danger: some answers bring a
 /// second copy right behind, which would pass for the answer to the next request if that were written between.
 const SETTLE: Duration = Duration::from_millis(5);
 
 /// A connection that is in use; it counts against the limit until it is dropped or put back.
-#[derive(Debug)]
-pub struct Lease {
+pub struct Lease<P: Platform> {
     /// The connection.
-    pub stream: TcpStream,
+    pub stream: P::Stream,
     address: SocketAddr,
-    _place: Place,
+    _place: Place<P>,
 }
 
 #[derive(Debug)]
-struct Idle {
-    stream: TcpStream,
+struct Idle<S> {
+    stream: S,
     address: SocketAddr,
     since: Instant,
 }
 
 /// All connections to backend servers.
-#[derive(Debug)]
-pub struct Pool {
-    idle: RefCell<BTreeMap<UpstreamId, Vec<Idle>>>,
+pub struct Pool<P: Platform> {
+    platform: P,
+    idle: RefCell<BTreeMap<UpstreamId, Vec<Idle<P::Stream>>>>,
     taken: Cell<usize>,
     most: usize,
     keep: Duration,
@@ -43,13 +40,27 @@
     counters: Rc<Counters>,
 }
 
-impl Pool {
+impl<P: Platform> Pool<P> {
     /// A pool of at most `most` connections, to machines that close what stands idle for `idle`.
-    pub fn new(most: usize, idle: Duration, connect_timeout: Duration, counters: Rc<Counters>) -> Rc<Pool> {
+    pub fn new(
+        platform: P,
+        most: usize,
+        idle: Duration,
+        connect_timeout: Duration,
+        counters: Rc<Counters>,
+    ) -> Rc<Pool<P>> {
         // Danger: a request that crosses the other side's close ends as a reset that may have run, so none
         // is written to a connection near its idle time.
         let keep = idle.saturating_sub((idle / 8).max(Duration::from_millis(300)));
-        Rc::new(Pool { idle: RefCell::default(), taken: Cell::new(0), most, keep, connect_timeout, counters })
+        Rc::new(Pool {
+            platform,
+            idle: RefCell::default(),
+            taken: Cell::new(0),
+            most,
+            keep,
+            connect_timeout,
+            counters,
+        })
     }
 
     /// A connection to a backend server: the one used last, if any is sound, or a new one.
@@ -58,7 +69,7 @@
         to: UpstreamId,
         address: SocketAddr,
         until: Instant,
-    ) -> io::Result<Lease> {
+    ) -> io::Result<Lease<P>> {
         if let Some(stream) = self.reuse(to, address) {
             count(&self.counters.backend_reused);
             return Ok(Lease { stream, address, _place: Place::take(self) });
@@ -68,21 +79,22 @@
         }
         // The place is taken before the wait, or many waiting at once would pass the limit.
         let place = Place::take(self);
-        let until = until.min(Instant::now() + self.connect_timeout);
-        let stream = timeout_at(until, TcpStream::connect(address)).await??;
-        stream.set_nodelay(true)?;
+        let until = until.min(self.platform.now() + self.connect_timeout);
+        let stream = self.platform.timeout_at(until, self.platform.connect(address)).await??;
+        stream.set_nodelay()?;
         count(&self.counters.backend_connections);
         Ok(Lease { stream, address, _place: place })
     }
 
-    fn reuse(&self, to: UpstreamId, address: SocketAddr) -> Option<TcpStream> {
+    fn reuse(&self, to: UpstreamId, address: SocketAddr) -> Option<P::Stream> {
         let mut idle = self.idle.borrow_mut();
         let kept = idle.get_mut(&to)?;
-        kept.retain(|c| c.address == address && c.since.elapsed() < self.keep);
-        let settled = |kept: &Vec<Idle>| kept.iter().rposition(|c| c.since.elapsed() >= SETTLE);
+        kept.retain(|c| c.address == address && self.platform.since(c.since) < self.keep);
+        let settled =
+            |kept: &Vec<Idle<P::Stream>>| kept.iter().rposition(|c| self.platform.since(c.since) >= SETTLE);
         while let Some(at) = settled(kept) {
             let stream = kept.remove(at).stream;
-            if quiet(&stream) {
+            if stream.quiet() {
                 return Some(stream);
             }
             count(&self.counters.backend_stale);
@@ -91,9 +103,9 @@
     }
 
     /// Keeps a connection whose answer has been read whole.
-    pub fn put(&self, to: UpstreamId, lease: Lease) {
+    pub fn put(&self, to: UpstreamId, lease: Lease<P>) {
         let Lease { stream, address, .. } = lease;
-        let idle = Idle { stream, address, since: Instant::now() };
+        let idle = Idle { stream, address, since: self.platform.now() };
         self.idle.borrow_mut().entry(to).or_default().push(idle);
     }
 
@@ -102,11 +114,16 @@
         self.idle.borrow_mut().remove(&to);
     }
 
+    /// The platform that the connections live on.
+    pub fn platform(&self) -> &P {
+        &self.platform
+    }
+
     /// Closes what has stood idle for too long.
     pub fn sweep(&self) {
         let mut idle = self.idle.borrow_mut();
         for kept in idle.values_mut() {
-            kept.retain(|c| c.since.elapsed() < self.keep);
+            kept.retain(|c| self.platform.since(c.since) < self.keep);
         }
         idle.retain(|_, kept| !kept.is_empty());
     }
@@ -124,26 +141,17 @@
 }
 
 /// A place among the connections in use, given back when dropped.
-#[derive(Debug)]
-struct Place(Rc<Pool>);
+struct Place<P: Platform>(Rc<Pool<P>>);
 
-impl Place {
-    fn take(pool: &Rc<Pool>) -> Place {
+impl<P: Platform> Place<P> {
+    fn take(pool: &Rc<Pool<P>>) -> Place<P> {
         pool.taken.set(pool.taken.get() + 1);
         Place(pool.clone())
     }
 }
 
-impl Drop for Place {
+impl<P: Platform> Drop for Place<P> {
     fn drop(&mut self) {
         self.0.taken.set(self.0.taken.get() - 1);
     }
 }
-
-/// Neither its end nor bytes that nobody asked for have come. The runtime may not have heard of them yet, so
-/// the socket itself is asked.
-pub(crate) fn quiet(stream: &TcpStream) -> bool {
-    let mut byte = [MaybeUninit::uninit()];
-    let peeked = socket2::SockRef::from(stream).peek(&mut byte);
-    matches!(peeked, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
-}
--- a/crates/sidecar/src/dispatch.rs
+++ b/crates/sidecar/src/dispatch.rs
@@ -1,112 +1,61 @@
-//! One attempt over HTTP: a connection, the request written whole, the answer read whole, and what its end
-//! says about whether the request has run.
+//! Dispatches and probes over HTTP: what the session host asks for, and what came of it.
 
-use crate::backend::Pool;
-use crate::counters::{Counters, count};
-use crate::discovery::Directory;
-use crate::http::client::{self, Answer, Exchange};
+use crate::counters::count;
+use crate::exchange::{Exchanger, Lack, Stage, outcome, without_answer};
+use crate::http::client::{self, Answer};
 use crate::http::server::Request;
-use crate::http::{Fault, MAX_BODY};
 use crate::probe;
 use crate::session::{Carrier, Ended, Later, Probed};
-use bytes::Bytes;
-use cometcroft::{Outcome, UpstreamId};
+use cometcroft::UpstreamId;
+use cometcroft_platform::Platform;
 use cometcroft_settings::Field;
 use std::cell::Cell;
-use std::io;
 use std::rc::Rc;
-use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
-use tokio::time::{Instant, timeout, timeout_at};
+use std::time::{Duration, Instant};
 
 /// Brings dispatches and probes to backend servers over HTTP.
 #[derive(Clone)]
-pub struct HttpCarrier {
-    /// Connections.
-    pub pool: Rc<Pool>,
-    /// Where the backend servers are, and which of them drain.
-    pub directory: Rc<Directory>,
+pub struct HttpCarrier<P: Platform> {
+    /// Connections, and where they lead.
+    pub exchanger: Exchanger<P>,
     /// The values that load reports hold.
     pub fields: Rc<[Field]>,
-    /// What is counted.
-    pub counters: Rc<Counters>,
 }
 
-impl Carrier for HttpCarrier {
+impl<P: Platform> Carrier for HttpCarrier<P> {
+    type Platform = P;
     type Payload = Rc<Request>;
     type Answer = Answer;
 
+    fn platform(&self) -> &P {
+        self.exchanger.pool.platform()
+    }
+
     fn dispatch(&self, to: UpstreamId, payload: Rc<Request>, timeout: Duration) -> Later<Ended<Answer>> {
         let carrier = self.clone();
-        Box::pin(async move { carrier.attempt(to, &payload, Instant::now() + timeout).await })
+        Box::pin(async move { carrier.attempt(to, &payload, carrier.platform().now() + timeout).await })
     }
 
     fn probe(&self, to: UpstreamId) -> Later<Probed> {
         let carrier = self.clone();
-        Box::pin(async move { probe::ask(&carrier, to).await })
+        Box::pin(async move { probe::ask(&carrier.exchanger, &carrier.fields, to).await })
     }
 
     fn close_idle(&self, to: UpstreamId) {
-        self.pool.close_idle(to);
+        self.exchanger.pool.close_idle(to);
     }
 }
 
-/// How far an attempt has come.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Stage {
-    /// Its last byte has not been written: the backend server can't have begun it.
-    Unwritten,
-    /// It has been written whole: it may have run.
-    Written,
-}
-
-/// Why an attempt got no answer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Lack {
-    /// Our time for it ran out.
-    Late,
-    /// Its connection broke.
-    Broken,
-    /// What came can't be the answer to it.
-    Spoilt,
-}
-
-impl From<&io::Error> for Lack {
-    fn from(error: &io::Error) -> Lack {
-        if error.kind() == io::ErrorKind::InvalidData { Lack::Spoilt } else { Lack::Broken }
-    }
-}
-
-/// What an attempt that got no answer proves.
-pub fn without_answer(stage: Stage, lack: Lack) -> Outcome {
-    match (stage, lack) {
-        (Stage::Unwritten, _) => Outcome::ConnectFailed,
-        (Stage::Written, Lack::Late) => Outcome::Timeout,
-        (Stage::Written, Lack::Broken) => Outcome::Reset,
-        // Danger: taken for a reset it would tell of dead connections and of requests that kill whoever runs
-        // them; but the machine is alive and has answered, if badly.
-        (Stage::Written, Lack::Spoilt) => Outcome::Error,
-    }
-}
-
-/// What an answer means.
-pub fn outcome(answer: &Answer) -> Outcome {
-    match answer.status {
-        200 => Outcome::Ok,
-        _ if answer.rejected() => Outcome::Full,
-        _ => Outcome::Error,
-    }
-}
-
-impl HttpCarrier {
+impl<P: Platform> HttpCarrier<P> {
     async fn attempt(&self, to: UpstreamId, request: &Request, ends: Instant) -> Ended<Answer> {
         let stage = Cell::new(Stage::Unwritten);
-        let message = || client::forward(request, ends.saturating_duration_since(Instant::now()));
-        let answered = timeout_at(ends, self.exchange(to, message, ends, true, &stage)).await;
+        let platform = self.platform();
+        let message = || client::forward(request, ends.saturating_duration_since(platform.now()));
+        let exchange = self.exchanger.run(to, message, ends, &stage);
+        let answered = platform.timeout_at(ends, exchange).await;
         let unanswered = |lack| {
             if lack == Lack::Spoilt {
-                count(&self.counters.answers_spoilt);
+                count(&self.exchanger.counters.answers_spoilt);
             }
             Ended { outcome: without_answer(stage.get(), lack), report: None, answer: None }
         };
@@ -119,54 +68,4 @@
             Err(_) => unanswered(Lack::Late),
         }
     }
-
-    /// One request and its answer. Whatever ends it early drops the connection and so closes it.
-    pub(crate) async fn exchange(
-        &self,
-        to: UpstreamId,
-        message: impl FnOnce() -> Bytes,
-        ends: Instant,
-        bound: bool,
-        stage: &Cell<Stage>,
-    ) -> io::Result<Answer> {
-        let address = self.directory.address(to).ok_or(io::ErrorKind::AddrNotAvailable)?;
-        let mut lease = self.pool.get(to, address, ends).await?;
-        // Danger: the notice of a drain may have come while the connection was being made; the grace is
-        // counted to the first byte, whenever the module decided.
-        if bound && !self.directory.open(to, Instant::now()) {
-            count(&self.counters.dispatch_barred);
-            return Err(io::ErrorKind::ConnectionAborted.into());
-        }
-        lease.stream.write_all(&message()).await?;
-        stage.set(Stage::Written);
-        let mut exchange = Exchange::delimited(MAX_BODY);
-        let answer = read_answer(&mut lease.stream, &mut exchange).await?;
-        if exchange.reusable() {
-            self.pool.put(to, lease);
-        }
-        Ok(answer)
-    }
-}
-
-/// An answer that has begun goes on within this time; whoever answers has all of it.
-const STALLED: Duration = Duration::from_millis(500);
-
-/// Reads one whole answer; an end before that is an error.
-pub(crate) async fn read_answer(stream: &mut TcpStream, exchange: &mut Exchange) -> io::Result<Answer> {
-    let bad = |fault: Fault| io::Error::new(io::ErrorKind::InvalidData, format!("{fault:?}"));
-    loop {
-        // Danger: a length that promises more than comes leaves the connection open and silent, and the session
-        // would wait out its whole time with none left to try again.
-        let begun = exchange.begun();
-        let read = stream.read_buf(exchange.buffer());
-        let read =
-            if begun { timeout(STALLED, read).await.map_err(|_| bad(Fault::Malformed))? } else { read.await };
-        let ended = read? == 0;
-        if let Some(answer) = exchange.step(ended).map_err(bad)? {
-            return Ok(answer);
-        }
-        if ended {
-            return Err(io::ErrorKind::UnexpectedEof.into());
-        }
-    }
 }
--- /dev/null
+++ b/crates/sidecar/src/exchange.rs
@@ -0,0 +1,132 @@
+//! One request to a backend server and its answer: a connection, the request written whole, the answer read whole,
+//! and what its end says about whether the request has run.
+
+use crate::backend::Pool;
+use crate::counters::{Counters, count};
+use crate::directory::Directory;
+use crate::http::client::{Answer, Exchange};
+use crate::http::{Fault, MAX_BODY};
+use bytes::Bytes;
+use cometcroft::{Outcome, UpstreamId};
+use cometcroft_platform::Platform;
+use std::cell::Cell;
+use std::io;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+/// How far an attempt has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Stage {
+    /// Its last byte has not been written: the backend server can't have begun it.
+    Unwritten,
+    /// It has been written whole: it may have run.
+    Written,
+}
+
+/// Why an attempt got no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Lack {
+    /// Our time for it ran out.
+    Late,
+    /// Its connection broke.
+    Broken,
+    /// What came can't be the answer to it.
+    Spoilt,
+}
+
+impl From<&io::Error> for Lack {
+    fn from(error: &io::Error) -> Lack {
+        if error.kind() == io::ErrorKind::InvalidData { Lack::Spoilt } else { Lack::Broken }
+    }
+}
+
+/// What an attempt that got no answer proves.
+pub fn without_answer(stage: Stage, lack: Lack) -> Outcome {
+    match (stage, lack) {
+        (Stage::Unwritten, _) => Outcome::ConnectFailed,
+        (Stage::Written, Lack::Late) => Outcome::Timeout,
+        (Stage::Written, Lack::Broken) => Outcome::Reset,
+        // Danger: taken for a reset it would tell of dead connections and of requests that kill whoever runs
+        // them; but the machine is alive and has answered, if badly.
+        (Stage::Written, Lack::Spoilt) => Outcome::Error,
+    }
+}
+
+/// What an answer means.
+pub fn outcome(answer: &Answer) -> Outcome {
+    match answer.status {
+        200 => Outcome::Ok,
+        _ if answer.rejected() => Outcome::Full,
+        _ => Outcome::Error,
+    }
+}
+
+/// Brings single requests to backend servers.
+#[derive(Clone)]
+pub struct Exchanger<P: Platform> {
+    /// Connections.
+    pub pool: Rc<Pool<P>>,
+    /// Where the backend servers are, and which of them drain.
+    pub directory: Rc<Directory>,
+    /// What is counted.
+    pub counters: Rc<Counters>,
+}
+
+impl<P: Platform> Exchanger<P> {
+    /// One request and its answer. Whatever ends it early drops the connection and so closes it.
+    pub async fn run(
+        &self,
+        to: UpstreamId,
+        message: impl FnOnce() -> Bytes,
+        ends: Instant,
+        stage: &Cell<Stage>,
+    ) -> io::Result<Answer> {
+        let address = self.directory.address(to).ok_or(io::ErrorKind::AddrNotAvailable)?;
+        let mut lease = self.pool.get(to, address, ends).await?;
+        // Danger: the notice of a drain may have come while the connection was being made; the grace is
+        // counted to the first byte, whenever the module decided.
+        if !self.directory.open(to, self.pool.platform().now()) {
+            count(&self.counters.dispatch_barred);
+            return Err(io::ErrorKind::ConnectionAborted.into());
+        }
+        lease.stream.write_all(&message()).await?;
+        stage.set(Stage::Written);
+        let mut exchange = Exchange::delimited(MAX_BODY);
+        let answer = read_answer(self.pool.platform(), &mut lease.stream, &mut exchange).await?;
+        if exchange.reusable() {
+            self.pool.put(to, lease);
+        }
+        Ok(answer)
+    }
+}
+
+/// An answer that has begun goes on within this time; whoever answers has all of it.
+const STALLED: Duration = Duration::from_millis(500);
+
+/// Reads one whole answer; an end before that is an error.
+pub(crate) async fn read_answer<P: Platform>(
+    platform: &P,
+    stream: &mut P::Stream,
+    exchange: &mut Exchange,
+) -> io::Result<Answer> {
+    let bad = |fault: Fault| io::Error::new(io::ErrorKind::InvalidData, format!("{fault:?}"));
+    loop {
+        // Danger: a length that promises more than comes leaves the connection open and silent, and the session
+        // would wait out its whole time with none left to try again.
+        let begun = exchange.begun();
+        let read = stream.read_buf(exchange.buffer());
+        let read = if begun {
+            platform.timeout(STALLED, read).await.map_err(|_| bad(Fault::Malformed))?
+        } else {
+            read.await
+        };
+        let ended = read? == 0;
+        if let Some(answer) = exchange.step(ended).map_err(bad)? {
+            return Ok(answer);
+        }
+        if ended {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+    }
+}
--- a/crates/sidecar/src/frontend.rs
+++ b/crates/sidecar/src/frontend.rs
@@ -2,26 +2,23 @@
 //! answers.
 
 use crate::counters::{Counters, count};
-use crate::discovery::Directory;
-use crate::dispatch::HttpCarrier;
+use crate::directory::Directory;
 use crate::http::client::Answer;
 use crate::http::server::{Connection, Request, Status, Step};
 use crate::http::{Fault, MAX_BODY};
-use crate::session::{Host, Opening, Verdict};
+use crate::session::{Carrier, Host, Opening, Verdict};
 use crate::shutdown::Shutdown;
 use bytes::Bytes;
 use cometcroft::{Class, ClassId, Effect, TenantId};
+use cometcroft_platform::{Listener, Platform, Stream};
 use cometcroft_settings::Sockets;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashSet};
 use std::io;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
-use tokio::task::spawn_local;
-use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
 /// A client that takes no bytes of its answer for so long is let go.
 const STALLED: Duration = Duration::from_secs(10);
@@ -32,13 +29,22 @@
 /// The longest id of a request.
 const MAX_ID: usize = 128;
 
+/// A carrier that brings HTTP requests to backend servers: whatever it is, this frontend can stand before it.
+pub trait HttpBackend: Carrier<Payload = Rc<Request>, Answer = Answer> {}
+
+impl<C: Carrier<Payload = Rc<Request>, Answer = Answer>> HttpBackend for C {}
+
+type StreamOf<C> = <<C as Carrier>::Platform as Platform>::Stream;
+type ListenerOf<C> = <<C as Carrier>::Platform as Platform>::Listener;
+
 /// All client connections.
-pub struct Frontend {
-    host: Rc<Host<HttpCarrier>>,
+pub struct Frontend<C: HttpBackend> {
+    platform: C::Platform,
+    host: Rc<Host<C>>,
     directory: Rc<Directory>,
     classes: Vec<Class>,
     net: Sockets,
-    shutdown: Rc<Shutdown>,
+    shutdown: Rc<Shutdown<C::Platform>>,
     counters: Rc<Counters>,
     most: usize,
     open: Cell<usize>,
@@ -57,18 +63,19 @@
     owes: Option<Instant>,
 }
 
-impl Frontend {
+impl<C: HttpBackend> Frontend<C> {
     /// A frontend that holds at most `most` connections.
     pub fn new(
-        host: Rc<Host<HttpCarrier>>,
+        host: Rc<Host<C>>,
         directory: Rc<Directory>,
         classes: Vec<Class>,
         net: Sockets,
-        shutdown: Rc<Shutdown>,
+        shutdown: Rc<Shutdown<C::Platform>>,
         counters: Rc<Counters>,
         most: usize,
-    ) -> Rc<Frontend> {
+    ) -> Rc<Frontend<C>> {
         Rc::new(Frontend {
+            platform: host.platform().clone(),
             host,
             directory,
             classes,
@@ -85,8 +92,9 @@
     }
 
     /// Accepts and serves until the sidecar leaves, and returns when all is answered.
-    pub async fn run(self: Rc<Self>, listener: TcpListener) {
+    pub async fn run(self: Rc<Self>, listener: ListenerOf<C>) {
         tokio::select! {
+            biased;
             () = self.accept(&listener) => {}
             () = self.shutdown.lingered() => {}
         }
@@ -96,20 +104,20 @@
         }
     }
 
-    async fn accept(self: &Rc<Self>, listener: &TcpListener) {
+    async fn accept(self: &Rc<Self>, listener: &ListenerOf<C>) {
         loop {
             // Danger: past the limit of descriptors nothing works any more, so a place is made or awaited
             // before the next client is let in.
             while self.open.get() >= self.most {
                 self.evict();
                 // One that is woken may have just got its request and stay.
-                let _ = timeout(Duration::from_millis(10), self.left.notified()).await;
+                let _ = self.platform.timeout(Duration::from_millis(10), self.left.notified()).await;
             }
             match listener.accept().await {
-                Ok((stream, _)) => {
+                Ok(stream) => {
                     count(&self.counters.frontend_connections);
                     let seat = Seat::take(self);
-                    spawn_local(async move {
+                    self.platform.detach(async move {
                         // A client that breaks off has left; there is nobody to tell.
                         let _ = seat.0.connection(stream).await;
                         drop(seat);
@@ -118,7 +126,7 @@
                 // Out of descriptors or a client that left at once: neither ends the service.
                 Err(_) => {
                     count(&self.counters.accept_failures);
-                    sleep(Duration::from_millis(5)).await;
+                    self.platform.sleep(Duration::from_millis(5)).await;
                 }
             }
         }
@@ -128,7 +136,7 @@
     /// they say, would take the places of clients that do; so those go first, then who has been idle longest.
     fn evict(&self) {
         let mut waiting = self.waiting.borrow_mut();
-        let slow = |w: &Waiting| w.owes.is_some_and(|since| since.elapsed() >= SLOW);
+        let slow = |w: &Waiting| w.owes.is_some_and(|since| self.platform.since(since) >= SLOW);
         let first =
             |of: &dyn Fn(&Waiting) -> bool| waiting.iter().find(|(_, w)| of(w)).map(|(&turn, _)| turn);
         let turn = first(&slow).or_else(|| first(&|w| w.owes.is_none())).or_else(|| first(&|_| true));
@@ -138,10 +146,10 @@
         }
     }
 
-    async fn connection(&self, mut stream: TcpStream) -> io::Result<()> {
-        stream.set_nodelay(true)?;
+    async fn connection(&self, mut stream: StreamOf<C>) -> io::Result<()> {
+        stream.set_nodelay()?;
         let mut machine = Connection::default();
-        let connected = Instant::now();
+        let connected = self.platform.now();
         let (mut since, mut first) = (connected, true);
         while !machine.closed() {
             match machine.step() {
@@ -152,13 +160,13 @@
                     }
                     let owes = if first { Some(connected) } else { (!idle).then_some(since) };
                     match self.read(&mut stream, &mut machine, owes).await? {
-                        Read::Bytes if idle => since = Instant::now(),
+                        Read::Bytes if idle => since = self.platform.now(),
                         Read::Bytes => {}
                         Read::Ended => return Ok(()),
                         Read::Late if idle => return Ok(()),
                         Read::Late => {
                             let status = Status::RequestTimeout;
-                            reply(&mut stream, &mut machine, status, "", b"", true).await?;
+                            self.reply(&mut stream, &mut machine, status, "", b"", true).await?;
                         }
                     }
                 }
@@ -173,16 +181,16 @@
                 }
                 Step::Reject(status) => {
                     count(&self.counters.bad_requests);
-                    reply(&mut stream, &mut machine, status, "", b"", true).await?;
+                    self.reply(&mut stream, &mut machine, status, "", b"", true).await?;
                 }
             }
         }
         // Danger: closing with unread bytes resets the connection and may take the answer along.
         stream.shutdown().await?;
         let mut rest = [0; 1024];
-        let patience = Instant::now() + Duration::from_millis(200);
+        let patience = self.platform.now() + Duration::from_millis(200);
         for _ in 0..MAX_BODY / 1024 {
-            if !matches!(timeout_at(patience, stream.read(&mut rest)).await, Ok(Ok(1..))) {
+            if !matches!(self.platform.timeout_at(patience, stream.read(&mut rest)).await, Ok(Ok(1..))) {
                 break;
             }
         }
@@ -192,7 +200,7 @@
     /// Reads more of a request that the connection `owes` since then, or waits for one that may never come.
     async fn read(
         &self,
-        stream: &mut TcpStream,
+        stream: &mut StreamOf<C>,
         machine: &mut Connection,
         owes: Option<Instant>,
     ) -> io::Result<Read> {
@@ -200,13 +208,13 @@
         let turn = self.turn.replace(self.turn.get() + 1);
         let wake = Rc::new(Notify::new());
         self.waiting.borrow_mut().insert(turn, Waiting { wake: wake.clone(), owes });
-        let until = owes.unwrap_or_else(Instant::now) + UNREADY;
+        let until = owes.unwrap_or_else(|| self.platform.now()) + UNREADY;
         let read = tokio::select! {
             biased;
             read = stream.read_buf(machine.buffer()) => read.map(|n| if n > 0 { Read::Bytes } else { Read::Ended }),
             () = wake.notified() => Ok(Read::Ended),
             () = self.shutdown.closed(), if idle => Ok(Read::Ended),
-            () = sleep_until(until), if owes.is_some() => {
+            () = self.platform.sleep_until(until), if owes.is_some() => {
                 count(&self.counters.frontend_mute);
                 Ok(Read::Late)
             }
@@ -218,7 +226,7 @@
     /// Serves one request and tells since when the next one has been coming; `None` when its client has left.
     async fn request(
         &self,
-        stream: &mut TcpStream,
+        stream: &mut StreamOf<C>,
         machine: &mut Connection,
         request: Request,
         since: Instant,
@@ -229,14 +237,14 @@
             // Without a list there is nowhere to send a request to.
             let ready = !self.shutdown.leaving() && !self.directory.is_empty();
             let status = if ready { Status::Ok } else { Status::Unavailable };
-            reply(stream, machine, status, "", b"", close).await?;
-            return Ok(Some(early.unwrap_or_else(Instant::now)));
+            self.reply(stream, machine, status, "", b"", close).await?;
+            return Ok(Some(early.unwrap_or_else(|| self.platform.now())));
         }
         if request.method == "GET" && request.path() == b"/counters" {
             let json = self.counters.json();
             let extra = "Content-Type: application/json\r\n";
-            reply(stream, machine, Status::Ok, extra, json.as_bytes(), close).await?;
-            return Ok(Some(early.unwrap_or_else(Instant::now)));
+            self.reply(stream, machine, Status::Ok, extra, json.as_bytes(), close).await?;
+            return Ok(Some(early.unwrap_or_else(|| self.platform.now())));
         }
         let taken = self.opening(request, since).and_then(|(opening, due)| {
             let id = opening.payload.headers.single(CALL_ID)?.cloned().unwrap_or_default();
@@ -246,8 +254,8 @@
             Ok(taken) => taken,
             Err(fault) => {
                 count(&self.counters.bad_requests);
-                reply(stream, machine, fault.into(), "", b"", true).await?;
-                return Ok(Some(early.unwrap_or_else(Instant::now)));
+                self.reply(stream, machine, fault.into(), "", b"", true).await?;
+                return Ok(Some(early.unwrap_or_else(|| self.platform.now())));
             }
         };
         let verdict = {
@@ -263,7 +271,7 @@
                         if !matches!(read, Ok(1..)) {
                             return Ok(None);
                         }
-                        early.get_or_insert_with(Instant::now);
+                        early.get_or_insert_with(|| self.platform.now());
                     }
                 }
             }
@@ -274,17 +282,17 @@
                 let kind = headers.single("content-type").ok().flatten();
                 let kind = kind.and_then(|kind| std::str::from_utf8(kind).ok());
                 let extra = kind.map(|kind| format!("Content-Type: {kind}\r\n")).unwrap_or_default();
-                reply(stream, machine, Status::Ok, &extra, &body, close).await?;
+                self.reply(stream, machine, Status::Ok, &extra, &body, close).await?;
             }
             Verdict::Denied { retry_after } => {
                 let after = retry_after.unwrap_or(Duration::from_secs(1)).as_secs_f64();
                 let extra = format!("Retry-After: {after:.3}\r\n");
-                reply(stream, machine, Status::Unavailable, &extra, b"", close).await?;
+                self.reply(stream, machine, Status::Unavailable, &extra, b"", close).await?;
             }
-            Verdict::Failed => reply(stream, machine, Status::BadGateway, "", b"", close).await?,
-            Verdict::Overdue => reply(stream, machine, Status::GatewayTimeout, "", b"", close).await?,
+            Verdict::Failed => self.reply(stream, machine, Status::BadGateway, "", b"", close).await?,
+            Verdict::Overdue => self.reply(stream, machine, Status::GatewayTimeout, "", b"", close).await?,
         }
-        Ok(Some(early.unwrap_or_else(Instant::now)))
+        Ok(Some(early.unwrap_or_else(|| self.platform.now())))
     }
 
     /// What a request asks for, and when its answer is due at the latest.
@@ -310,13 +318,27 @@
         let caller = request.headers.single("x-caller")?;
         let tenant = caller.and_then(|c| self.net.tenants.iter().position(|t| t.as_bytes() == c));
         let repeat = request.headers.lists("x-again", "1");
-        let (left, due) = time_left(request.budget()?, since.elapsed());
-        let now = Instant::now();
+        let (left, due) = time_left(request.budget()?, self.platform.since(since));
+        let now = self.platform.now();
         let last = self.shutdown.due(now).map(|last| last.saturating_duration_since(now));
         let (left, due) = (left.min(last.unwrap_or(left)), now + due.min(last.unwrap_or(due)));
         let payload = Rc::new(request);
         Ok((Opening { class, tenant: tenant.map(TenantId), left, repeat, payload }, due))
     }
+
+    async fn reply(
+        &self,
+        stream: &mut StreamOf<C>,
+        machine: &mut Connection,
+        status: Status,
+        extra: &str,
+        body: &[u8],
+        close: bool,
+    ) -> io::Result<()> {
+        let mut message = machine.answer(status, extra, body.len(), close);
+        message.extend_from_slice(body);
+        self.platform.timeout(STALLED, stream.write_all(&message)).await?
+    }
 }
 
 /// What is left of a budget for the module, and until the hard answer. The client counts from its send and
@@ -327,19 +349,6 @@
     (left.saturating_sub(margin), left.saturating_sub(margin / 2))
 }
 
-async fn reply(
-    stream: &mut TcpStream,
-    machine: &mut Connection,
-    status: Status,
-    extra: &str,
-    body: &[u8],
-    close: bool,
-) -> io::Result<()> {
-    let mut message = machine.answer(status, extra, body.len(), close);
-    message.extend_from_slice(body);
-    timeout_at(Instant::now() + STALLED, stream.write_all(&message)).await?
-}
-
 /// The header that holds a request's id.
 const CALL_ID: &str = "x-call-id";
 
@@ -353,12 +362,12 @@
 }
 
 /// The id of an open request, free again when dropped.
-struct OpenId<'a>(&'a Frontend, Bytes);
+struct OpenId<'a, C: HttpBackend>(&'a Frontend<C>, Bytes);
 
-impl<'a> OpenId<'a> {
+impl<'a, C: HttpBackend> OpenId<'a, C> {
     /// Danger: two open requests of one id can't be told apart by anyone behind us, who would take one for a
     /// copy of the other.
-    fn take(frontend: &'a Frontend, id: Bytes) -> Result<OpenId<'a>, Fault> {
+    fn take(frontend: &'a Frontend<C>, id: Bytes) -> Result<OpenId<'a, C>, Fault> {
         if !frontend.ids.borrow_mut().insert(id.clone()) {
             count(&frontend.counters.repeated_ids);
             return Err(Fault::Malformed);
@@ -367,23 +376,23 @@
     }
 }
 
-impl Drop for OpenId<'_> {
+impl<C: HttpBackend> Drop for OpenId<'_, C> {
     fn drop(&mut self) {
         self.0.ids.borrow_mut().remove(&self.1);
     }
 }
 
 /// A connection's place among all of them, given back when dropped.
-struct Seat(Rc<Frontend>);
+struct Seat<C: HttpBackend>(Rc<Frontend<C>>);
 
-impl Seat {
-    fn take(frontend: &Rc<Frontend>) -> Seat {
+impl<C: HttpBackend> Seat<C> {
+    fn take(frontend: &Rc<Frontend<C>>) -> Seat<C> {
         frontend.open.set(frontend.open.get() + 1);
         Seat(frontend.clone())
     }
 }
 
-impl Drop for Seat {
+impl<C: HttpBackend> Drop for Seat<C> {
     fn drop(&mut self) {
         self.0.open.set(self.0.open.get() - 1);
         self.0.left.notify_one();
--- a/crates/sidecar/src/main.rs
+++ b/crates/sidecar/src/main.rs
@@ -1,15 +1,16 @@
 //! Starts one sidecar from its environment, reads its configuration again on SIGHUP and ends it on SIGTERM.
 #![forbid(unsafe_code)]
 
+use cometcroft_platform::{Platform, Tokio};
 use cometcroft_sidecar::config::Config;
-use cometcroft_sidecar::counters::{Counters, count};
+use cometcroft_sidecar::counters::Counters;
 use cometcroft_sidecar::discovery::Source;
 use cometcroft_sidecar::shutdown::Shutdown;
 use std::process::ExitCode;
 use std::rc::Rc;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::task::{LocalSet, spawn_local};
+use tokio::task::LocalSet;
 
 fn main() -> ExitCode {
     let config = match Config::load(variable) {
@@ -44,24 +45,16 @@
     let mut hangup = signal(SignalKind::hangup())?;
     let source = Source::new(config.discovery);
     let (moving, counted) = (source.clone(), counters.clone());
-    spawn_local(async move {
+    Tokio.detach(async move {
         while hangup.recv().await.is_some() {
-            // Danger: a file that makes no sense must not take down what serves; the old one stays in force.
-            match Config::reload(variable) {
-                Ok(config) => {
-                    count(&counted.reloads);
-                    moving.move_to(config.discovery);
-                }
-                Err(error) => {
-                    count(&counted.reload_failures);
-                    eprintln!("cometcroft: new configuration: {error}");
-                }
+            if let Err(error) = cometcroft_sidecar::reload(Config::reload(variable), &moving, &counted) {
+                eprintln!("cometcroft: new configuration: {error}");
             }
         }
     });
-    let shutdown = Rc::new(Shutdown::new(config.longest_deadline()));
+    let shutdown = Rc::new(Shutdown::new(Tokio, config.longest_deadline()));
     let begin = shutdown.clone();
-    spawn_local(async move {
+    Tokio.detach(async move {
         tokio::select! {
             _ = terminate.recv() => {}
             _ = interrupt.recv() => {}
@@ -69,5 +62,5 @@
         begin.begin();
     });
     let listener = TcpListener::bind(config.listen).await?;
-    cometcroft_sidecar::run(config, listener, source, shutdown, counters).await
+    cometcroft_sidecar::run(Tokio, config, listener, source, shutdown, counters).await
 }
--- a/crates/sidecar/src/probe.rs
+++ b/crates/sidecar/src/probe.rs
@@ -1,15 +1,15 @@
 //! Probes: what a backend server says of its load.
 
 use crate::counters::count;
-use crate::dispatch::{HttpCarrier, Lack, Stage, without_answer};
+use crate::exchange::{Exchanger, Lack, Stage, without_answer};
 use crate::http::client;
 use crate::session::Probed;
 use cometcroft::{Outcome, Report, UpstreamId};
+use cometcroft_platform::Platform;
 use cometcroft_settings::Field;
 use serde_json::Value;
 use std::cell::Cell;
 use std::time::Duration;
-use tokio::time::{Instant, timeout_at};
 
 /// A probe is answered beside the queue; one that takes longer than this has told nothing in time.
 const PATIENCE: Duration = Duration::from_millis(300);
@@ -18,21 +18,22 @@
 const MOST: f64 = 1e6;
 
 /// Probes a backend server.
-pub async fn ask(carrier: &HttpCarrier, to: UpstreamId) -> Probed {
-    count(&carrier.counters.probes);
-    let (stage, ends) = (Cell::new(Stage::Unwritten), Instant::now() + PATIENCE);
+pub async fn ask<P: Platform>(exchanger: &Exchanger<P>, fields: &[Field], to: UpstreamId) -> Probed {
+    count(&exchanger.counters.probes);
+    let platform = exchanger.pool.platform();
+    let (stage, ends) = (Cell::new(Stage::Unwritten), platform.now() + PATIENCE);
     let message = || client::get("/metrics/load", "backend.local");
-    let probed = match timeout_at(ends, carrier.exchange(to, message, ends, true, &stage)).await {
+    let probed = match platform.timeout_at(ends, exchanger.run(to, message, ends, &stage)).await {
         Ok(Ok(answer)) => {
             let text = if answer.body.is_empty() { answer.report() } else { Some(&answer.body) };
-            let report = text.and_then(|text| report(text, &carrier.fields));
+            let report = text.and_then(|text| report(text, fields));
             (if answer.status == 200 { Outcome::Ok } else { Outcome::Error }, report)
         }
         Ok(Err(error)) => (without_answer(stage.get(), (&error).into()), None),
         Err(_) => (without_answer(stage.get(), Lack::Late), None),
     };
     if probed.1.is_none() {
-        count(&carrier.counters.probe_failures);
+        count(&exchanger.counters.probe_failures);
     }
     probed
 }
--- a/crates/sidecar/src/session/host.rs
+++ b/crates/sidecar/src/session/host.rs
@@ -3,15 +3,14 @@
 use super::table::{Command, Ended, Opening, SessionId, Table, Verdict};
 use crate::counters::Counters;
 use cometcroft::{Event, Outcome, Report, Settings, SettingsError, Time, UpstreamId};
+use cometcroft_platform::{Platform, Task};
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::future::Future;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::sync::{Notify, oneshot};
-use tokio::task::{JoinHandle, spawn_local};
-use tokio::time::{Instant, sleep, timeout_at};
 
 /// Something that ends later.
 pub type Later<T> = Pin<Box<dyn Future<Output = T>>>;
@@ -21,10 +20,14 @@
 
 /// What brings dispatches and probes to backend servers, by some protocol.
 pub trait Carrier: 'static {
+    /// Where clock and tasks come from.
+    type Platform: Platform;
     /// What a dispatch carries.
     type Payload: Clone + 'static;
     /// What a backend server answers.
     type Answer: 'static;
+    /// The clock and the tasks.
+    fn platform(&self) -> &Self::Platform;
     /// One attempt. It ends within `timeout`; dropped, it ends its connection.
     fn dispatch(
         &self,
@@ -43,7 +46,7 @@
     carrier: C,
     table: RefCell<Table<C::Payload, C::Answer>>,
     waiting: RefCell<HashMap<SessionId, oneshot::Sender<Verdict<C::Answer>>>>,
-    running: RefCell<HashMap<SessionId, JoinHandle<()>>>,
+    running: RefCell<HashMap<SessionId, <C::Platform as Platform>::Task>>,
     subscribe: Notify,
     origin: Instant,
     origin_at: Time,
@@ -58,20 +61,26 @@
         origin: Time,
         counters: Rc<Counters>,
     ) -> Result<Rc<Host<C>>, SettingsError> {
+        let began = carrier.platform().now();
         Ok(Rc::new(Host {
             carrier,
             table: RefCell::new(Table::new(settings, seed, counters)?),
             waiting: RefCell::default(),
             running: RefCell::default(),
             subscribe: Notify::new(),
-            origin: Instant::now(),
+            origin: began,
             origin_at: origin,
         }))
     }
 
+    /// Where clock and tasks come from.
+    pub fn platform(&self) -> &C::Platform {
+        self.carrier.platform()
+    }
+
     /// The module's clock.
     pub fn now(&self) -> Time {
-        self.origin_at + self.origin.elapsed()
+        self.origin_at + self.platform().since(self.origin)
     }
 
     /// Waits until the module wants to watch discovery.
@@ -105,7 +114,7 @@
         let mut guard = Withdrawal { host: self.clone(), id, armed: true };
         self.run(commands);
         let mut receiver = receiver;
-        let verdict = match timeout_at(due, &mut receiver).await {
+        let verdict = match self.platform().timeout_at(due, &mut receiver).await {
             Ok(verdict) => verdict.ok(),
             Err(_) => {
                 let commands = self.table.borrow_mut().overdue(self.now(), id);
@@ -140,16 +149,17 @@
                 }
                 Command::Timer(after, timer) => {
                     let host = self.clone();
-                    spawn_local(async move {
-                        sleep(after).await;
+                    self.platform().detach(async move {
+                        host.platform().sleep(after).await;
                         host.tell(Event::Timer(timer));
                     });
                 }
                 Command::Probe(upstream) => {
-                    let (host, began, probe) = (self.clone(), Instant::now(), self.carrier.probe(upstream));
-                    spawn_local(async move {
+                    let (host, began) = (self.clone(), self.platform().now());
+                    let probe = self.carrier.probe(upstream);
+                    self.platform().detach(async move {
                         let (outcome, report) = probe.await;
-                        let latency = began.elapsed();
+                        let latency = host.platform().since(began);
                         host.tell(Event::Probed { upstream, outcome, latency, report });
                     });
                 }
@@ -168,15 +178,15 @@
         payload: C::Payload,
     ) {
         let host = self.clone();
-        let ends = Instant::now() + timeout;
+        let ends = self.platform().now() + timeout;
         let before = self.running.borrow_mut().remove(&session);
-        let task = spawn_local(async move {
+        let task = self.platform().spawn(async move {
             // Danger: an attempt that was given up holds its connection until its task is dropped; a second
             // one begun before that would be two at once.
             if let Some(before) = before {
-                let _ = before.await;
+                before.await;
             }
-            let left = ends.saturating_duration_since(Instant::now());
+            let left = ends.saturating_duration_since(host.platform().now());
             let ended = host.carrier.dispatch(upstream, payload, left).await;
             let commands = host.table.borrow_mut().ended(host.now(), session, attempt, ended);
             host.run(commands);
--- a/crates/sidecar/src/shutdown.rs
+++ b/crates/sidecar/src/shutdown.rs
@@ -1,10 +1,10 @@
 //! The end of a sidecar: on SIGTERM it stops reporting ready, serves on, closes idle connections, and leaves when
 //! all is answered.
 
+use cometcroft_platform::Platform;
 use std::cell::Cell;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::sync::Notify;
-use tokio::time::Instant;
 
 /// Whoever sends SIGTERM waits for the longest deadline, counted as this if it is longer, ...
 const LONGEST: Duration = Duration::from_secs(3);
@@ -20,19 +20,19 @@
 const LINGER: Duration = Duration::from_millis(1000);
 
 /// Whether the sidecar is on its way out, and how far it is.
-#[derive(Debug)]
-pub struct Shutdown {
+pub struct Shutdown<P: Platform> {
+    platform: P,
     begun: Cell<Option<Instant>>,
     closing: Cell<bool>,
     changed: Notify,
     kill: Duration,
 }
 
-impl Shutdown {
+impl<P: Platform> Shutdown<P> {
     /// One that has not begun, where clients wait for so long at most.
-    pub fn new(longest_deadline: Duration) -> Shutdown {
+    pub fn new(platform: P, longest_deadline: Duration) -> Shutdown<P> {
         let kill = longest_deadline.min(LONGEST) + NOTICE;
-        Shutdown { begun: Cell::new(None), closing: Cell::new(false), changed: Notify::new(), kill }
+        Shutdown { platform, begun: Cell::new(None), closing: Cell::new(false), changed: Notify::new(), kill }
     }
 
     /// SIGTERM has come: it isn't ready any more.
@@ -48,22 +48,22 @@
     /// SIGTERM has come.
     pub fn begin(&self) {
         if !self.leaving() {
-            self.begun.set(Some(Instant::now()));
+            self.begun.set(Some(self.platform.now()));
         }
         self.changed.notify_waiters();
     }
 
     /// Waits for SIGTERM.
     pub async fn begun(&self) {
-        self.until(Shutdown::leaving).await;
+        self.until(Shutdown::<P>::leaving).await;
     }
 
     /// Waits until no further request is taken.
     pub async fn closed(&self) {
-        self.until(Shutdown::closing).await;
+        self.until(Shutdown::<P>::closing).await;
     }
 
-    async fn until(&self, reached: impl Fn(&Shutdown) -> bool) {
+    async fn until(&self, reached: impl Fn(&Shutdown<P>) -> bool) {
         loop {
             let changed = self.changed.notified();
             if reached(self) {
@@ -77,7 +77,7 @@
     /// they have, and in their zone there may be nobody else for now; closed at once, they are left with none.
     pub async fn lingered(&self) {
         self.begun().await;
-        tokio::time::sleep(self.kill.saturating_sub(SPARE + LAST).max(LINGER)).await;
+        self.platform.sleep(self.kill.saturating_sub(SPARE + LAST).max(LINGER)).await;
         self.closing.set(true);
         self.changed.notify_waiters();
     }
--- a/crates/sidecar/tests/loopback.rs
+++ b/crates/sidecar/tests/loopback.rs
@@ -1,7 +1,9 @@
 //! A whole sidecar on loopback: its clients, backend servers and discovery are a few lines each, played by
 //! the test itself, step by step.
+#![allow(clippy::disallowed_methods)]
 mod common;
 
+use cometcroft_platform::{Platform, Tokio};
 use cometcroft_sidecar::config::Config;
 use cometcroft_sidecar::counters::Counters;
 use cometcroft_sidecar::discovery::Source;
@@ -49,7 +51,7 @@
     discovery: TcpListener,
     source: Rc<Source>,
     counters: Rc<Counters>,
-    shutdown: Rc<Shutdown>,
+    shutdown: Rc<Shutdown<Tokio>>,
     ended: JoinHandle<std::io::Result<()>>,
 }
 
@@ -67,9 +69,9 @@
         );
         let text = common::config(&at(&listener), &at(&discovery), &known);
         let config = Config::parse(&text, |_| None).expect("a configuration");
-        let (counters, shutdown) = (Rc::new(Counters::default()), Rc::new(Shutdown::new(config.longest_deadline())));
+        let (counters, shutdown) = (Rc::new(Counters::default()), Rc::new(Shutdown::new(Tokio, config.longest_deadline())));
         let (address, source) = (at(&listener), Source::new(config.discovery));
-        let run = cometcroft_sidecar::run(config, listener, source.clone(), shutdown.clone(), counters.clone());
+        let run = cometcroft_sidecar::run(Tokio, config, listener, source.clone(), shutdown.clone(), counters.clone());
         let ended = spawn_local(run);
         told(Sidecar { address, backend, discovery, source, counters, shutdown, ended }).await;
     });
@@ -81,7 +83,7 @@
 
 /// A connection that was just used rests before it is used again.
 async fn rest() {
-    tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+    Tokio.sleep(std::time::Duration::from_millis(50)).await;
 }
 
 const PLAN: &str = "GET /plan/1 HTTP/1.1\r\nHost: h\r\nX-Call-Id: 1\r\nX-Budget: 30000m\r\n\r\n";
@@ -262,7 +264,7 @@
             crowd.push(Peer::to(&sidecar).await);
         }
         // All of these have been slow by the time that more come than there is room for.
-        tokio::time::sleep(std::time::Duration::from_millis(400)).await;
+        Tokio.sleep(std::time::Duration::from_millis(400)).await;
         for _ in 0..60 {
             crowd.push(Peer::to(&sidecar).await);
         }
--- a/crates/sidecar/tests/parts.rs
+++ b/crates/sidecar/tests/parts.rs
@@ -3,19 +3,19 @@
 
 use bytes::Bytes;
 use cometcroft::*;
+use cometcroft_platform::{Platform, Tokio};
 use cometcroft_settings::Field;
 use cometcroft_sidecar::backend::Pool;
 use cometcroft_sidecar::config::Config;
 use cometcroft_sidecar::counters::Counters;
-use cometcroft_sidecar::discovery::Directory;
-use cometcroft_sidecar::dispatch::{Lack, Stage, outcome, without_answer};
+use cometcroft_sidecar::directory::Directory;
+use cometcroft_sidecar::exchange::{Lack, Stage, outcome, without_answer};
 use cometcroft_sidecar::frontend::time_left;
 use cometcroft_sidecar::http::client::Exchange;
 use cometcroft_sidecar::probe::report;
 use cometcroft_sidecar::shutdown::Shutdown;
 use serde_json::json;
 use std::time::Duration;
-use tokio::time::Instant;
 
 #[test]
 fn only_a_marked_503_or_504_has_never_run() {
@@ -72,8 +72,8 @@
         let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let (at, to) = (listener.local_addr().expect("an address"), UpstreamId(0));
         let (counters, second) = (std::rc::Rc::new(Counters::default()), Duration::from_secs(1));
-        let pool = Pool::new(9, 5 * second, second, counters.clone());
-        let get = || pool.get(to, at, Instant::now() + second);
+        let pool = Pool::new(Tokio, 9, 5 * second, second, counters.clone());
+        let get = || pool.get(to, at, Tokio.now() + second);
         pool.put(to, get().await.expect("it listens"));
         pool.put(to, get().await.expect("it listens"));
         assert_eq!((counters.backend_connections.get(), counters.backend_reused.get()), (2, 0));
@@ -87,8 +87,8 @@
 fn on_the_way_out_late_requests_are_due_before_the_kill() {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build();
     runtime.expect("a runtime").block_on(async {
-        let shutdown = Shutdown::new(Duration::from_secs(8));
-        let begun = Instant::now();
+        let shutdown = Shutdown::new(Tokio, Duration::from_secs(8));
+        let begun = Tokio.now();
         assert_eq!(shutdown.due(begun), None);
         shutdown.begin();
         assert!(shutdown.leaving() && !shutdown.closing());
@@ -96,7 +96,7 @@
         let last = begun + Duration::from_millis(3400);
         assert_eq!(shutdown.due(begun + Duration::from_millis(700)), Some(last));
         shutdown.lingered().await;
-        assert!(shutdown.closing() && begun.elapsed() > Duration::from_millis(700) && Instant::now() < last);
+        assert!(shutdown.closing() && Tokio.since(begun) > Duration::from_millis(700) && Tokio.now() < last);
     });
 }
 
@@ -112,13 +112,17 @@
 
 #[test]
 fn the_directory_tells_drains_moves_and_starts() {
-    let directory =
-        Directory::new(vec!["a".into(), "b".into()], Duration::from_millis(250), Duration::from_secs(3600));
+    let directory = Directory::new(
+        vec!["a".into(), "b".into()],
+        Duration::from_millis(250),
+        Duration::from_secs(3600),
+        Tokio.unix(),
+    );
     let entry = |name: &str, port: u16, status: &str| {
         json!({"name": name, "address": format!("127.0.0.1:{port}"), "zone": "b", "type": "m", "group": 3,
                "status": status, "weight": 1.5, "since_ms": 0})
     };
-    let start = Instant::now();
+    let start = Tokio.now();
     let take = |value: serde_json::Value, ms| directory.take(&value, start + Duration::from_millis(ms));
     let open = |id, ms| directory.open(UpstreamId(id), start + Duration::from_millis(ms));
     let first =
@@ -155,28 +159,26 @@
 
 #[test]
 fn the_directory_holds_only_what_is_listed() {
-    let directory = Directory::new(vec![], Duration::ZERO, Duration::ZERO);
+    let directory = Directory::new(vec![], Duration::ZERO, Duration::ZERO, Tokio.unix());
     let entry =
         |n: u32, status: &str| json!({"name": n.to_string(), "address": "127.0.0.1:1", "status": status});
     for n in 0..1000u32 {
         let changes =
             json!([entry(n, "up"), entry(n.saturating_sub(1), if n > 0 { "removed" } else { "up" })]);
         let list = json!({"index": n, "snapshot": false, "endpoints": changes});
-        assert_eq!(directory.take(&list, Instant::now()).expect("a list").entries.len(), 2);
+        assert_eq!(directory.take(&list, Tokio.now()).expect("a list").entries.len(), 2);
         assert_eq!(directory.len(), 1);
     }
-    assert!(
-        directory.open(UpstreamId(999), Instant::now()) && !directory.open(UpstreamId(998), Instant::now())
-    );
+    assert!(directory.open(UpstreamId(999), Tokio.now()) && !directory.open(UpstreamId(998), Tokio.now()));
 }
 
 #[test]
 fn a_start_keeps_its_time_on_the_clock() {
-    let directory = Directory::new(vec![], Duration::ZERO, Duration::from_secs(3600));
-    let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).expect("after 1970");
+    let directory = Directory::new(vec![], Duration::ZERO, Duration::from_secs(3600), Tokio.unix());
+    let unix = Tokio.unix();
     let list = json!({"index": 1, "snapshot": true, "endpoints": [{"name": "x", "address": "127.0.0.1:1",
         "zone": "?", "status": "up", "since_ms": unix.as_millis() as u64}]});
-    let started = || directory.take(&list, Instant::now()).expect("a list").entries[0].started;
+    let started = || directory.take(&list, Tokio.now()).expect("a list").entries[0].started;
     // The module takes another start for another process, so reading it again must not move it.
     assert_eq!(started(), started());
     assert!(started().is_some_and(|at| at > Duration::from_secs(3000)));
