--- /dev/null
+++ b/crates/emulator/src/platform.rs
@@ -0,0 +1,190 @@
+//! The sidecar's platform on the kernel: the same network code, on the virtual clock and the simulated network.
+
+use crate::kernel::{Kernel, Pid, Running, Sleep};
+use crate::net::{ConnId, HostId, Owner, Side};
+use cometcroft_platform::{Listener, Platform, Stream};
+use std::fmt;
+use std::future::poll_fn;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+/// The Unix time at which every run begins.
+pub const EPOCH: Duration = Duration::from_secs(1_700_000_000);
+
+/// Sockets, clock and tasks of one emulated process.
+pub struct Emulated<E> {
+    kernel: Rc<Kernel<E>>,
+    pid: Pid,
+    host: HostId,
+    /// Planted defects: its clock's pace, and whether what a server writes goes out twice.
+    pace: f64,
+    twice: bool,
+}
+
+impl<E> Clone for Emulated<E> {
+    fn clone(&self) -> Self {
+        Emulated { kernel: self.kernel.clone(), ..*self }
+    }
+}
+
+impl<E: 'static> Emulated<E> {
+    /// The platform of a process on a host.
+    pub fn new(kernel: Rc<Kernel<E>>, pid: Pid, host: HostId) -> Self {
+        Emulated { kernel, pid, host, pace: 1.0, twice: false }
+    }
+
+    /// A planted defect: its clock runs at this pace.
+    pub fn run_slow(&mut self, pace: f64) {
+        self.pace = pace;
+    }
+
+    /// A planted defect: whatever it writes to clients goes out twice.
+    pub fn write_twice(&mut self) {
+        self.twice = true;
+    }
+
+    /// Listens at an address.
+    pub fn listen(&self, at: SocketAddr) -> EmulatedListener<E> {
+        self.kernel.with_net(|net| net.listen(at, Owner::Process(self.pid), self.host, 128));
+        EmulatedListener { platform: self.clone(), at }
+    }
+}
+
+/// A connection of an emulated process.
+pub struct EmulatedStream<E> {
+    kernel: Rc<Kernel<E>>,
+    conn: ConnId,
+    side: Side,
+    twice: bool,
+}
+
+impl<E> fmt::Debug for EmulatedStream<E> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:?}/{}", self.conn, self.side)
+    }
+}
+
+impl<E> Drop for EmulatedStream<E> {
+    fn drop(&mut self) {
+        self.kernel.with_net(|net| net.close(self.conn, self.side));
+    }
+}
+
+impl<E> AsyncRead for EmulatedStream<E> {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        if buf.remaining() == 0 {
+            return Poll::Ready(Ok(()));
+        }
+        let read = self.kernel.net.borrow_mut().read(self.conn, self.side, buf.remaining(), cx.waker());
+        match read {
+            None => Poll::Pending,
+            Some(Err(error)) => Poll::Ready(Err(error)),
+            Some(Ok(bytes)) => {
+                buf.put_slice(&bytes);
+                Poll::Ready(Ok(()))
+            }
+        }
+    }
+}
+
+impl<E> AsyncWrite for EmulatedStream<E> {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        let wrote = self.kernel.with_net(|net| {
+            if self.twice && self.side == 1 {
+                let _ = net.write(self.conn, self.side, buf, cx.waker());
+            }
+            net.write(self.conn, self.side, buf, cx.waker())
+        });
+        wrote.map_or(Poll::Pending, Poll::Ready)
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.kernel.with_net(|net| net.fin(self.conn, self.side));
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl<E: 'static> Stream for EmulatedStream<E> {
+    fn set_nodelay(&self) -> io::Result<()> {
+        Ok(())
+    }
+
+    fn quiet(&self) -> bool {
+        self.kernel.net.borrow().quiet(self.conn, self.side)
+    }
+}
+
+/// A listening socket of an emulated process.
+pub struct EmulatedListener<E: 'static> {
+    platform: Emulated<E>,
+    at: SocketAddr,
+}
+
+impl<E: 'static> Drop for EmulatedListener<E> {
+    fn drop(&mut self) {
+        let platform = &self.platform;
+        // The address may have passed to another life of the sidecar.
+        if platform.kernel.net.borrow().alive(platform.pid) {
+            platform.kernel.with_net(|net| net.unlisten(self.at));
+        }
+    }
+}
+
+impl<E: 'static> Listener for EmulatedListener<E> {
+    type Stream = EmulatedStream<E>;
+    async fn accept(&self) -> io::Result<EmulatedStream<E>> {
+        let platform = &self.platform;
+        let conn = poll_fn(|cx| {
+            let next = platform.kernel.net.borrow_mut().accept(self.at, platform.pid, cx.waker());
+            next.map_or(Poll::Pending, Poll::Ready)
+        })
+        .await?;
+        Ok(EmulatedStream { kernel: platform.kernel.clone(), conn, side: 1, twice: platform.twice })
+    }
+}
+
+impl<E: 'static> Platform for Emulated<E> {
+    type Stream = EmulatedStream<E>;
+    type Listener = EmulatedListener<E>;
+    type Task = Running;
+
+    fn now(&self) -> Instant {
+        if self.pace == 1.0 { self.kernel.instant() } else { self.kernel.instant_at(self.pace) }
+    }
+
+    fn unix(&self) -> Duration {
+        EPOCH + Duration::from_nanos(self.kernel.now())
+    }
+
+    fn sleep_until(&self, at: Instant) -> impl Future<Output = ()> + 'static {
+        let at = self.kernel.nanos(at);
+        let at = if self.pace == 1.0 { at } else { (at as f64 / self.pace) as u64 };
+        let sleep: Sleep<E> = self.kernel.sleep_until(at);
+        sleep
+    }
+
+    fn spawn(&self, task: impl Future<Output = ()> + 'static) -> Running {
+        self.kernel.spawn(self.pid, task)
+    }
+
+    async fn connect(&self, to: SocketAddr) -> io::Result<EmulatedStream<E>> {
+        let opened = self.kernel.with_net(|net| net.connect(Owner::Process(self.pid), self.host, to));
+        // Whoever stops waiting drops the stream, and with it the attempt.
+        let stream = EmulatedStream { kernel: self.kernel.clone(), conn: opened?, side: 0, twice: false };
+        poll_fn(|cx| {
+            let up = self.kernel.with_net(|net| net.opened(stream.conn, cx.waker()));
+            up.map_or(Poll::Pending, Poll::Ready)
+        })
+        .await?;
+        Ok(stream)
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/sabotage.rs
@@ -0,0 +1,152 @@
+//! Planted defects: sidecars that break one rule on purpose, to show that the judge finds it. Test use only; sound
+//! runs don't pass through here.
+
+use crate::platform::Emulated;
+use cometcroft::{Outcome, UpstreamId};
+use cometcroft_platform::Platform;
+use cometcroft_sidecar::backend::Lease;
+use cometcroft_sidecar::dispatch::HttpCarrier;
+use cometcroft_sidecar::http::client::Answer;
+use cometcroft_sidecar::http::server::Request;
+use cometcroft_sidecar::session::{Carrier, Ended, Later, Probed};
+use serde::{Deserialize, Serialize};
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// A planted defect.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Defect {
+    /// What may have run is reported as never sent, and so sent again.
+    ResendsWhatRan,
+    /// Each attempt is made twice at once.
+    TwoAtOnce,
+    /// An answer is kept and handed to the next request.
+    AnothersAnswer,
+    /// A connection is kept for good after each attempt that got no answer.
+    LeaksConnections,
+    /// A drain is taken to have a grace of ten seconds.
+    ForgetsDrains,
+    /// A start is not spared.
+    FloodsCold,
+    /// Its clock runs slow.
+    AnswersLate,
+    /// Each answer is written twice.
+    AnswersTwice,
+    /// On SIGTERM it ends at once.
+    LosesOnRestart,
+}
+
+impl Defect {
+    /// All of them.
+    pub const ALL: [Defect; 9] = [
+        Defect::ResendsWhatRan,
+        Defect::TwoAtOnce,
+        Defect::AnothersAnswer,
+        Defect::LeaksConnections,
+        Defect::ForgetsDrains,
+        Defect::FloodsCold,
+        Defect::AnswersLate,
+        Defect::AnswersTwice,
+        Defect::LosesOnRestart,
+    ];
+
+    /// Its name on the command line.
+    pub fn name(self) -> String {
+        serde_json::to_value(self).ok().and_then(|v| v.as_str().map(str::to_owned)).unwrap_or_default()
+    }
+}
+
+type Sim = Emulated<crate::emulator::Event>;
+
+/// A carrier with a defect.
+pub struct Saboteur {
+    /// The sound one.
+    pub inner: HttpCarrier<Sim>,
+    /// The defect.
+    pub defect: Defect,
+    /// The answer that was kept.
+    pub kept: Rc<RefCell<Option<Answer>>>,
+    /// Connections that were kept.
+    pub hoard: Rc<RefCell<Vec<Lease<Sim>>>>,
+}
+
+impl Saboteur {
+    /// A sound carrier with a defect.
+    pub fn new(inner: HttpCarrier<Sim>, defect: Defect) -> Saboteur {
+        Saboteur { inner, defect, kept: Rc::default(), hoard: Rc::default() }
+    }
+}
+
+impl Carrier for Saboteur {
+    type Platform = Sim;
+    type Payload = Rc<Request>;
+    type Answer = Answer;
+
+    fn platform(&self) -> &Sim {
+        self.inner.platform()
+    }
+
+    fn dispatch(&self, to: UpstreamId, payload: Rc<Request>, timeout: Duration) -> Later<Ended<Answer>> {
+        let sound = self.inner.dispatch(to, payload.clone(), timeout);
+        match self.defect {
+            Defect::ResendsWhatRan => Box::pin(async move {
+                let mut ended = sound.await;
+                if !matches!(ended.outcome, Outcome::Ok) {
+                    ended.outcome = Outcome::ConnectFailed;
+                }
+                ended
+            }),
+            Defect::TwoAtOnce => {
+                let other = self.inner.dispatch(to, payload, timeout);
+                Box::pin(async move {
+                    tokio::select! {
+                        biased;
+                        ended = sound => ended,
+                        ended = other => ended,
+                    }
+                })
+            }
+            Defect::AnothersAnswer => {
+                let kept = self.kept.clone();
+                Box::pin(async move {
+                    let mut ended = sound.await;
+                    if ended.outcome == Outcome::Ok {
+                        let before = kept.borrow_mut().take();
+                        if before.is_some() {
+                            ended.answer = before;
+                        } else {
+                            *kept.borrow_mut() = ended.answer.clone();
+                        }
+                    }
+                    ended
+                })
+            }
+            Defect::LeaksConnections => {
+                let (hoard, exchanger) = (self.hoard.clone(), self.inner.exchanger.clone());
+                Box::pin(async move {
+                    let ended = sound.await;
+                    if !matches!(ended.outcome, Outcome::Ok)
+                        && let Some(address) = exchanger.directory.address(to)
+                    {
+                        let until = exchanger.pool.platform().now() + Duration::from_millis(50);
+                        if let Ok(lease) = exchanger.pool.get(to, address, until).await {
+                            hoard.borrow_mut().push(lease);
+                        }
+                    }
+                    ended
+                })
+            }
+            _ => sound,
+        }
+    }
+
+    fn probe(&self, to: UpstreamId) -> Later<Probed> {
+        self.inner.probe(to)
+    }
+
+    fn close_idle(&self, to: UpstreamId) {
+        self.inner.close_idle(to);
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/scenario.rs
@@ -0,0 +1,806 @@
+//! Scenarios: the documented TOML file that says what a run is made of, as ranges to draw from or as figures.
+//!
+//! Every error is one line: file, line, column, field, reason. `docs/scenarios.md` is the reference.
+
+use serde::de::{self, Deserializer, Visitor};
+use serde::ser::{SerializeSeq, Serializer};
+use serde::{Deserialize, Serialize};
+use std::fmt;
+use std::path::Path;
+
+/// A figure, or a range `[least, most]` to draw it from.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Span(pub f64, pub f64);
+
+/// A time with its unit (`"250ms"`, `"12.5s"`), or a range of two. In seconds.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Time(pub f64, pub f64);
+
+fn figure<E: de::Error>(value: f64) -> Result<f64, E> {
+    if value.is_finite() && value >= 0.0 {
+        return Ok(value);
+    }
+    Err(E::custom(format!("{value} must be finite and not negative")))
+}
+
+fn ordered<E: de::Error>(lo: f64, hi: f64) -> Result<(f64, f64), E> {
+    if lo <= hi { Ok((lo, hi)) } else { Err(E::custom(format!("range [{lo}, {hi}] runs backwards"))) }
+}
+
+fn time<E: de::Error>(text: &str) -> Result<f64, E> {
+    let at = text.find(|c: char| c.is_ascii_alphabetic()).unwrap_or(text.len());
+    let (number, unit) = text.split_at(at);
+    let scale = match unit {
+        "ns" => 1e-9,
+        "us" => 1e-6,
+        "ms" => 1e-3,
+        "s" => 1.0,
+        "m" => 60.0,
+        _ => return Err(E::custom(format!("time {text:?} needs a unit: ns, us, ms, s or m"))),
+    };
+    let number: f64 = number.trim().parse().map_err(|_| E::custom(format!("time {text:?} has no number")))?;
+    figure(number * scale)
+}
+
+struct SpanVisitor;
+
+impl<'de> Visitor<'de> for SpanVisitor {
+    type Value = Span;
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a number or a range [least, most]")
+    }
+    fn visit_f64<E: de::Error>(self, value: f64) -> Result<Span, E> {
+        figure(value).map(|v| Span(v, v))
+    }
+    fn visit_i64<E: de::Error>(self, value: i64) -> Result<Span, E> {
+        self.visit_f64(value as f64)
+    }
+    fn visit_u64<E: de::Error>(self, value: u64) -> Result<Span, E> {
+        self.visit_f64(value as f64)
+    }
+    fn visit_seq<A: de::SeqAccess<'de>>(self, mut seq: A) -> Result<Span, A::Error> {
+        let mut next = || seq.next_element::<f64>()?.ok_or_else(|| de::Error::custom("a range has two ends"));
+        let (lo, hi) = (figure(next()?)?, figure(next()?)?);
+        if seq.next_element::<f64>()?.is_some() {
+            return Err(de::Error::custom("a range has two ends"));
+        }
+        ordered(lo, hi).map(|(lo, hi)| Span(lo, hi))
+    }
+}
+
+impl<'de> Deserialize<'de> for Span {
+    fn deserialize<D: Deserializer<'de>>(d: D) -> Result<Span, D::Error> {
+        d.deserialize_any(SpanVisitor)
+    }
+}
+
+impl Serialize for Span {
+    fn serialize<S: Serializer>(&self, s: S) -> Result<S::Ok, S::Error> {
+        if self.0 == self.1 {
+            return s.serialize_f64(self.0);
+        }
+        let mut seq = s.serialize_seq(Some(2))?;
+        seq.serialize_element(&self.0)?;
+        seq.serialize_element(&self.1)?;
+        seq.end()
+    }
+}
+
+struct TimeVisitor;
+
+impl<'de> Visitor<'de> for TimeVisitor {
+    type Value = Time;
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a time such as \"250ms\" or a range of two")
+    }
+    fn visit_str<E: de::Error>(self, text: &str) -> Result<Time, E> {
+        time(text).map(|t| Time(t, t))
+    }
+    fn visit_seq<A: de::SeqAccess<'de>>(self, mut seq: A) -> Result<Time, A::Error> {
+        let mut next =
+            || seq.next_element::<String>()?.ok_or_else(|| de::Error::custom("a range has two ends"));
+        let (lo, hi) = (time(&next()?)?, time(&next()?)?);
+        if seq.next_element::<String>()?.is_some() {
+            return Err(de::Error::custom("a range has two ends"));
+        }
+        ordered(lo, hi).map(|(lo, hi)| Time(lo, hi))
+    }
+}
+
+impl<'de> Deserialize<'de> for Time {
+    fn deserialize<D: Deserializer<'de>>(d: D) -> Result<Time, D::Error> {
+        d.deserialize_any(TimeVisitor)
+    }
+}
+
+impl Serialize for Time {
+    fn serialize<S: Serializer>(&self, s: S) -> Result<S::Ok, S::Error> {
+        // Nanoseconds are what the clock has; a written script must play as it was drawn.
+        let word = |t: f64| format!("{}ns", (t * 1e9).round());
+        if self.0 == self.1 {
+            return s.serialize_str(&word(self.0));
+        }
+        let mut seq = s.serialize_seq(Some(2))?;
+        seq.serialize_element(&word(self.0))?;
+        seq.serialize_element(&word(self.1))?;
+        seq.end()
+    }
+}
+
+const fn s(v: f64) -> Time {
+    Time(v, v)
+}
+
+const fn n(v: f64) -> Span {
+    Span(v, v)
+}
+
+macro_rules! section {
+    ($(#[$doc:meta])* $name:ident { $($(#[$fdoc:meta])* $field:ident : $ty:ty = $default:expr,)* }) => {
+        $(#[$doc])*
+        #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+        #[serde(deny_unknown_fields, default)]
+        pub struct $name { $($(#[$fdoc])* pub $field: $ty,)* }
+
+        impl Default for $name {
+            fn default() -> $name { $name { $($field: $default,)* } }
+        }
+    };
+}
+
+section! {
+    /// `[day]`: the run as a whole.
+    DaySection {
+        /// A word for tables.
+        name: String = "day".to_owned(),
+        /// How long clients send first tries.
+        length: Time = s(50.0),
+        /// If set, the seed that the script belongs to; `--seed` goes before it.
+        seed: Option<u64> = None,
+        /// The zones' names.
+        zones: Vec<String> = vec!["plateau".into(), "pikine".into(), "diamniadio".into()],
+    }
+}
+
+section! {
+    /// `[links]`: one-way times of the network.
+    LinkSection {
+        /// On one machine.
+        local: Time = s(0.000_03),
+        /// Within a zone.
+        same: Time = Time(0.000_15, 0.000_31),
+        /// Between zones.
+        cross: Time = Time(0.000_42, 0.000_78),
+        /// Between clients and the front tier's sidecars.
+        client: Time = Time(0.000_25, 0.001_1),
+        /// Share of a time that varies from message to message.
+        jitter: Span = Span(0.066, 0.34),
+    }
+}
+
+section! {
+    /// `[sidecars]`: those of the first tier.
+    SidecarSection {
+        /// How many.
+        count: Span = n(3.0),
+        /// Descriptors of each.
+        sockets: Span = n(1024.0),
+    }
+}
+
+section! {
+    /// `[clients]`: who sends requests.
+    ClientSection {
+        /// First tries a second.
+        rate: Span = n(60.0),
+        /// Rate at the end beside that at the start (1: steady).
+        ramp: Span = n(1.0),
+        /// Share of the traffic that the busiest zone gets on top of an even share.
+        skew: Span = n(0.2),
+        /// Further tries that a client makes by itself, on average.
+        retries: Span = Span(0.0, 1.0),
+        /// Share of its deadline that a try is given.
+        try_share: Span = Span(0.7, 1.0),
+        /// Wait before a further try.
+        backoff: Time = Time(0.032, 0.26),
+        /// Share of clients that wait as `Retry-After` says.
+        honour: Span = Span(0.8, 1.0),
+        /// Share of first tries whose client leaves early, at a random moment.
+        impatient: Span = Span(0.0, 0.01),
+        /// Share of requests that come on a connection of their own.
+        fresh: Span = n(0.02),
+        /// Bad clients a second: what they send is drawn from everything that can't be a request.
+        bad: Span = n(0.0),
+    }
+}
+
+section! {
+    /// `[discovery]`: the list of nodes.
+    DiscoverySection {
+        /// How long after a change it is known there.
+        notice: Time = Time(0.89, 4.5),
+        /// How long after a machine vanished this is known there.
+        silent_notice: Time = Time(5.4, 12.0),
+        /// Calls that it answers at once.
+        capacity: Span = Span(3.0, 5.0),
+        /// What a call takes it.
+        call: Time = Time(0.005, 0.02),
+        /// A call that has waited longer is refused.
+        patience: Time = s(1.0),
+        /// The longest time until a changed list goes out.
+        period: Time = Time(0.44, 1.4),
+    }
+}
+
+section! {
+    /// `[rules]`: the figures that the judge holds the sidecars to.
+    RuleSection {
+        /// Time after a notice within which sends to a draining node cease.
+        drain_grace: Time = s(0.25),
+        /// A cold node sent more than this multiple of its capacity ...
+        fall_multiple: Span = n(3.0),
+        /// ... for this long falls over.
+        fall_after: Time = s(1.5),
+        /// A sidecar must ask for news within this time.
+        ask_within: Time = s(6.0),
+        /// Attempts of one request.
+        max_attempts: Span = n(3.0),
+        /// The longest advice on when to come again.
+        max_retry_after: Time = s(3.0),
+    }
+}
+
+/// What a repeat of a class does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum EffectWord {
+    /// Nothing.
+    Safe,
+    /// Nodes drop it for `window`.
+    Keyed,
+    /// It takes effect again.
+    Unsafe,
+}
+
+/// `[[class]]`: a class of requests.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ClassSection {
+    /// Its name, the first part of the path.
+    pub name: String,
+    /// Its share of the first tries, beside the other classes' figures.
+    pub share: Span,
+    /// The work of a request on a core of the yardstick's speed, over all tiers.
+    pub work: Time,
+    /// An answer within this time has the full worth.
+    pub aim: Time,
+    /// How long a client waits in all.
+    pub deadline: Time,
+    /// Worth of a request.
+    pub worth: Span,
+    /// Share of the worth that an answer after the aim has.
+    pub late: Span,
+    /// Whether it may run again.
+    pub effect: EffectWord,
+    /// For how long nodes drop a repeat of a key.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub window: Option<Time>,
+}
+
+section! {
+    /// `[tier.report]`: what nodes tell of their load when probed.
+    ReportSection {
+        /// Time between two refreshes.
+        period: Time = Time(0.3, 1.5),
+        /// A refresh is told so much later.
+        delay: Time = Time(0.07, 0.49),
+        /// Noise, as a share of the figure.
+        noise: Span = Span(0.01, 0.05),
+        /// What a probe costs.
+        probe: Time = Time(0.0014, 0.0028),
+    }
+}
+
+section! {
+    /// `[tier.connections]`.
+    ConnectionSection {
+        /// Round trips that a handshake takes the first request.
+        handshake_rtts: Span = Span(1.0, 3.0),
+        /// Work that a handshake costs the node.
+        handshake: Time = Time(0.0044, 0.008),
+        /// A connection that has stood idle so long is closed.
+        idle: Time = s(5.0),
+        /// A sidecar gives up connecting after this time.
+        connect_timeout: Time = s(0.2),
+        /// Connections a core that a node holds.
+        cap_per_core: Span = Span(600.0, 900.0),
+    }
+}
+
+section! {
+    /// `[tier.crowding]`: nodes that have far more waiting than cores turn slow until they have been idle.
+    CrowdingSection {
+        /// Share of nodes that do so.
+        share: Span = n(0.0),
+        /// Requests waiting a core.
+        at: Span = Span(4.0, 7.0),
+        /// For so long.
+        over: Time = Time(1.5, 2.5),
+        /// Then they are so many times slower ...
+        slower: Span = Span(2.4, 3.4),
+        /// ... until under this share of the cores was busy ...
+        below: Span = Span(0.25, 0.4),
+        /// ... for so long ...
+        rest: Time = Time(2.7, 4.8),
+        /// ... or so much time has passed.
+        most: Time = Time(19.0, 31.0),
+    }
+}
+
+/// Which work a cancel stops.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum CancelWord {
+    /// What waits.
+    #[default]
+    Queued,
+    /// What runs, too.
+    All,
+}
+
+/// `[[tier.kind]]`: a kind of node.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct KindSection {
+    /// Its name; nodes are called `NAME-1` and so on.
+    pub name: String,
+    /// Its share of the tier, beside the other kinds' figures.
+    pub share: Span,
+    /// Cores.
+    pub cores: Span,
+    /// Speed of a core beside the yardstick's.
+    pub speed: Span,
+    /// Requests a core in work.
+    #[serde(default = "slots")]
+    pub slots_per_core: Span,
+    /// Requests a core that may wait beyond that.
+    #[serde(default = "queue")]
+    pub queue_per_core: Span,
+    /// Capacity just after a start.
+    #[serde(default = "cold_from")]
+    pub cold_from: Span,
+    /// Time until it is warm.
+    #[serde(default = "cold")]
+    pub cold: Time,
+    /// Share of requests that fail at once.
+    #[serde(default = "errors")]
+    pub errors: Span,
+    /// Which work a cancel stops.
+    #[serde(default)]
+    pub cancel: CancelWord,
+}
+
+fn slots() -> Span {
+    Span(10.0, 24.0)
+}
+fn queue() -> Span {
+    Span(1.1, 3.3)
+}
+fn cold_from() -> Span {
+    Span(0.31, 0.6)
+}
+fn cold() -> Time {
+    Time(3.4, 9.0)
+}
+fn errors() -> Span {
+    Span(0.0, 0.001)
+}
+
+/// `[[tier]]`: a tier of nodes; the first one is the one that clients call.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TierSection {
+    /// Its name.
+    pub name: String,
+    /// How many nodes.
+    pub nodes: Span,
+    /// Share of a class's work that one call does here.
+    pub work: Span,
+    /// Calls that a request of the tier above makes here, one after another, on average.
+    #[serde(default = "one")]
+    pub calls: Span,
+    /// Kinds of nodes.
+    pub kind: Vec<KindSection>,
+    /// Load reports.
+    #[serde(default)]
+    pub report: ReportSection,
+    /// Connections.
+    #[serde(default)]
+    pub connections: ConnectionSection,
+    /// Slowing down when crowded.
+    #[serde(default)]
+    pub crowding: CrowdingSection,
+}
+
+fn one() -> Span {
+    n(1.0)
+}
+
+/// What goes wrong.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum FaultKind {
+    /// Nodes run `factor` times slower for a time.
+    Slow,
+    /// Nodes quickly fail a share `factor` of their requests for a time.
+    FastErrors,
+    /// Load reports arrive later, by `delay`, for a time.
+    ReportLate,
+    /// Traffic is `factor` times the usual for a time.
+    Burst,
+    /// One sidecar carries a share `factor` of all traffic for a time.
+    HotCaller,
+    /// The list of nodes runs `delay` further behind for a time.
+    DiscoveryStale,
+    /// Discovery is down for a time.
+    DiscoveryDown,
+    /// Discovery moves: every sidecar's file names another address and gets SIGHUP.
+    DiscoveryMove,
+    /// Every sidecar's file is broken and gets SIGHUP.
+    BadFile,
+    /// A node's process dies and comes back after `for`.
+    NodeKill,
+    /// A node's machine falls silent for `for`; then it is back without its connections.
+    NodeVanish,
+    /// A node is cut off for `for`; then all goes on.
+    NodeCut,
+    /// A node drains, leaves after 2 s, and is back after `for`, cold.
+    NodeDrain,
+    /// A node is replaced by a new one under a new name, at its address where `takes_address`.
+    NodeReplace,
+    /// A node's next answers are cut after `byte` bytes, by an end of the connection.
+    CutAnswer,
+    /// The same by a reset.
+    ResetAnswer,
+    /// A share `factor` of a node's answers is spoilt for a time.
+    SpoiltAnswers,
+    /// A node's answers come in small pieces for a time.
+    SlowDrip,
+    /// A node refuses connections for a time.
+    Refuse,
+    /// A sidecar gets SIGTERM, is killed when its time is up, and starts again.
+    SidecarRestart,
+    /// A sidecar is killed outright and starts again.
+    SidecarKill,
+    /// A sidecar's descriptors run out for a time.
+    Descriptors,
+}
+
+/// `[[fault]]`: something that goes wrong, once or drawn `times` over.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct FaultSection {
+    /// What.
+    pub kind: FaultKind,
+    /// When; a range is drawn from.
+    pub at: Time,
+    /// For how long.
+    #[serde(rename = "for", default, skip_serializing_if = "Option::is_none")]
+    pub lasting: Option<Time>,
+    /// Which node (`KIND-N`) or sidecar (`sidecar-N`); drawn if not said.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub target: Option<String>,
+    /// Of this tier, counted from 0, where the target is drawn.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub tier: Option<usize>,
+    /// Share of the tier's nodes (at least one) where the target is drawn.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub share: Option<Span>,
+    /// How much.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub factor: Option<Span>,
+    /// How late.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub delay: Option<Time>,
+    /// After how many bytes of an answer.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub byte: Option<Span>,
+    /// Whether a replacement takes the address of the one that has gone.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub takes_address: Option<bool>,
+    /// How many of these are drawn.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub times: Option<Span>,
+}
+
+/// A scenario.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Scenario {
+    /// The run as a whole.
+    #[serde(default)]
+    pub day: DaySection,
+    /// The network.
+    #[serde(default)]
+    pub links: LinkSection,
+    /// Sidecars of the first tier.
+    #[serde(default)]
+    pub sidecars: SidecarSection,
+    /// Clients.
+    #[serde(default)]
+    pub clients: ClientSection,
+    /// Discovery.
+    #[serde(default)]
+    pub discovery: DiscoverySection,
+    /// The judge's figures.
+    #[serde(default)]
+    pub rules: RuleSection,
+    /// Classes of requests; those of the brief if none is written down.
+    #[serde(rename = "class", default = "brief_classes")]
+    pub classes: Vec<ClassSection>,
+    /// Tiers of nodes; those of the brief if none is written down.
+    #[serde(rename = "tier", default = "brief_tiers")]
+    pub tiers: Vec<TierSection>,
+    /// What goes wrong.
+    #[serde(rename = "fault", default)]
+    pub faults: Vec<FaultSection>,
+}
+
+/// The classes and tiers that a scenario has if it names none: the brief's.
+const BRIEF: &str = include_str!("../scenarios/brief.toml");
+
+#[derive(Deserialize)]
+struct Brief {
+    #[serde(rename = "class")]
+    classes: Vec<ClassSection>,
+    #[serde(rename = "tier")]
+    tiers: Vec<TierSection>,
+}
+
+fn brief() -> Brief {
+    // A test reads it; were it ever wrong, the scenario would be refused as having none.
+    toml::from_str(BRIEF).unwrap_or(Brief { classes: Vec::new(), tiers: Vec::new() })
+}
+
+fn brief_classes() -> Vec<ClassSection> {
+    brief().classes
+}
+
+fn brief_tiers() -> Vec<TierSection> {
+    brief().tiers
+}
+
+macro_rules! shipped {
+    ($($name:literal),* $(,)?) => {
+        /// The scenarios that come with the program: name and text.
+        pub const SHIPPED: &[(&str, &str)] =
+            &[$(($name, include_str!(concat!("../scenarios/", $name, ".toml")))),*];
+    };
+}
+
+shipped![
+    "calm",
+    "two-tier",
+    "busy-eve",
+    "slow",
+    "fast-errors",
+    "report-late",
+    "burst",
+    "hot-caller",
+    "discovery-stale",
+    "discovery-down",
+    "reload",
+    "drains",
+    "kills",
+    "vanish",
+    "replace",
+    "cuts",
+    "spoilt",
+    "drip",
+    "refuse",
+    "restart",
+    "descriptors",
+    "bad-clients",
+    "mixed",
+];
+
+/// A scenario that makes no sense, in one line.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ScenarioError(String);
+
+impl fmt::Display for ScenarioError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl std::error::Error for ScenarioError {}
+
+/// Line and column of a byte of a text, counted from 1.
+fn place(text: &str, byte: usize) -> (usize, usize) {
+    let before = &text.as_bytes()[..byte.min(text.len())];
+    let line = before.iter().filter(|&&b| b == b'\n').count() + 1;
+    let column = before.iter().rev().take_while(|&&b| b != b'\n').count() + 1;
+    (line, column)
+}
+
+/// The key on the line that a byte lies on, or the header of its table.
+fn key(text: &str, byte: usize) -> String {
+    let byte = byte.min(text.len());
+    let mut start = byte;
+    while start > 0 && text.as_bytes()[start - 1] != b'\n' {
+        start -= 1;
+    }
+    let line = text[start..].lines().next().unwrap_or_default();
+    line.split('=').next().unwrap_or_default().trim().to_owned()
+}
+
+impl Scenario {
+    /// Reads a scenario; `file` is only named in errors.
+    pub fn parse(text: &str, file: &str) -> Result<Scenario, ScenarioError> {
+        let scenario: Scenario = toml::from_str(text).map_err(|error| {
+            let reason = error.message().replace('\n', " ");
+            match error.span() {
+                Some(span) => {
+                    let (line, column) = place(text, span.start);
+                    ScenarioError(format!("{file}:{line}:{column}: {}: {reason}", key(text, span.start)))
+                }
+                None => ScenarioError(format!("{file}: {reason}")),
+            }
+        })?;
+        scenario.check().map_err(|(header, index, field, reason)| {
+            // The table that the field belongs to, and the field in it where it is written down.
+            let table = text.match_indices(&header).map(|(at, _)| at).nth(index).unwrap_or(0);
+            let body = &text[table..];
+            let end = body[1..].find("\n[").map_or(body.len(), |at| at + 1);
+            let written = body[..end].match_indices(field).map(|(at, _)| at).find(|&at| {
+                let start = at == 0 || body.as_bytes()[at - 1] == b'\n';
+                start && body[at + field.len()..].trim_start().starts_with('=')
+            });
+            let (line, column) = place(text, table + written.unwrap_or(0));
+            ScenarioError(format!("{file}:{line}:{column}: {field}: {reason}"))
+        })?;
+        Ok(scenario)
+    }
+
+    /// Reads a scenario's file.
+    pub fn load(path: &Path) -> Result<Scenario, ScenarioError> {
+        let file = path.display().to_string();
+        let text = std::fs::read_to_string(path).map_err(|e| ScenarioError(format!("{file}: {e}")))?;
+        Scenario::parse(&text, &file)
+    }
+
+    /// A shipped scenario by its name, or else one in a file of that path.
+    pub fn find(name: &str) -> Result<Scenario, ScenarioError> {
+        match SHIPPED.iter().find(|(shipped, _)| *shipped == name) {
+            Some((_, text)) => Scenario::parse(text, name),
+            None => Scenario::load(Path::new(name)),
+        }
+    }
+
+    /// The same day in so many seconds, its faults drawn together as far.
+    pub fn shortened(mut self, seconds: f64) -> Scenario {
+        let scale = (seconds / self.day.length.1).min(1.0);
+        self.day.length = Time(seconds, seconds);
+        for fault in &mut self.faults {
+            fault.at = Time(fault.at.0 * scale, fault.at.1 * scale);
+            fault.lasting = fault.lasting.map(|t| Time(t.0 * scale, t.1 * scale));
+        }
+        self
+    }
+
+    /// The scenario as text that reads back as itself.
+    pub fn text(&self) -> String {
+        toml::to_string(self).unwrap_or_default()
+    }
+
+    /// What no single field shows: the table's header, which of them, the field, the reason.
+    fn check(&self) -> Result<(), (String, usize, &'static str, String)> {
+        let bad = |header: &str, index: usize, field: &'static str, reason: &str| {
+            Err((header.to_owned(), index, field, reason.to_owned()))
+        };
+        if self.day.zones.is_empty() {
+            return bad("[day]", 0, "zones", "must not be empty");
+        }
+        if self.day.length.0 <= 0.0 {
+            return bad("[day]", 0, "length", "must be positive");
+        }
+        if self.classes.is_empty() {
+            return bad("", 0, "class", "must not be empty");
+        }
+        if self.tiers.is_empty() {
+            return bad("", 0, "tier", "must not be empty");
+        }
+        if self.sidecars.count.0 < 1.0 {
+            return bad("[sidecars]", 0, "count", "must be at least 1");
+        }
+        if self.sidecars.sockets.0 < 64.0 {
+            return bad("[sidecars]", 0, "sockets", "must be at least 64");
+        }
+        for (i, class) in self.classes.iter().enumerate() {
+            let keyed = class.effect == EffectWord::Keyed;
+            if keyed && class.window.is_none() {
+                return bad("[[class]]", i, "window", "a keyed class needs it");
+            }
+            if !keyed && class.window.is_some() {
+                return bad("[[class]]", i, "window", "only a keyed class has one");
+            }
+            if class.deadline.0 < class.aim.1 {
+                return bad("[[class]]", i, "deadline", "is shorter than the aim");
+            }
+            if class.work.0 <= 0.0 {
+                return bad("[[class]]", i, "work", "must be positive");
+            }
+        }
+        let mut kind_at = 0;
+        for (i, tier) in self.tiers.iter().enumerate() {
+            if tier.nodes.0 < 1.0 {
+                return bad("[[tier]]", i, "nodes", "must be at least 1");
+            }
+            if tier.kind.is_empty() {
+                return bad("[[tier]]", i, "kind", "must not be empty");
+            }
+            for kind in &tier.kind {
+                if kind.cores.0 < 1.0 {
+                    return bad("[[tier.kind]]", kind_at, "cores", "must be at least 1");
+                }
+                if kind.speed.0 <= 0.0 {
+                    return bad("[[tier.kind]]", kind_at, "speed", "must be positive");
+                }
+                if kind.cold_from.0 <= 0.0 || kind.cold_from.1 > 1.0 {
+                    return bad("[[tier.kind]]", kind_at, "cold_from", "must be over 0 and at most 1");
+                }
+                kind_at += 1;
+            }
+        }
+        for (i, fault) in self.faults.iter().enumerate() {
+            let wants = |field: &'static str, has: bool, wanted: bool| match (has, wanted) {
+                (true, false) => {
+                    Err(("[[fault]]".to_owned(), i, field, format!("{:?} has none", fault.kind)))
+                }
+                (false, true) => {
+                    Err(("[[fault]]".to_owned(), i, field, format!("{:?} needs it", fault.kind)))
+                }
+                _ => Ok(()),
+            };
+            use FaultKind::*;
+            let kind = fault.kind;
+            let lasting = !matches!(
+                kind,
+                DiscoveryMove
+                    | BadFile
+                    | NodeReplace
+                    | CutAnswer
+                    | ResetAnswer
+                    | SidecarRestart
+                    | SidecarKill
+            );
+            wants("for", fault.lasting.is_some(), lasting)?;
+            let factor = matches!(kind, Slow | FastErrors | Burst | HotCaller | SpoiltAnswers);
+            wants("factor", fault.factor.is_some(), factor)?;
+            wants("delay", fault.delay.is_some(), matches!(kind, ReportLate | DiscoveryStale))?;
+            wants("byte", fault.byte.is_some(), matches!(kind, CutAnswer | ResetAnswer))?;
+            let nowhere =
+                matches!(kind, Burst | ReportLate | DiscoveryStale | DiscoveryDown | DiscoveryMove | BadFile);
+            if nowhere {
+                wants("target", fault.target.is_some(), false)?;
+                wants("share", fault.share.is_some(), false)?;
+            }
+            if fault.takes_address.is_some() && kind != NodeReplace {
+                wants("takes_address", true, false)?;
+            }
+            if fault.tier.is_some_and(|tier| tier >= self.tiers.len()) {
+                return bad("[[fault]]", i, "tier", "there is no such tier");
+            }
+            if matches!(kind, FastErrors | HotCaller | SpoiltAnswers)
+                && fault.factor.is_some_and(|f| f.1 > 1.0)
+            {
+                return bad("[[fault]]", i, "factor", "is a share: at most 1");
+            }
+            if matches!(kind, Slow | Burst) && fault.factor.is_some_and(|f| f.0 <= 0.0) {
+                return bad("[[fault]]", i, "factor", "must be positive");
+            }
+        }
+        Ok(())
+    }
+}
