--- a/crates/emulator/src/clients.rs
+++ b/crates/emulator/src/clients.rs
@@ -7,6 +7,7 @@
 use crate::net::ConnId;
 use crate::scenario::EffectWord;
 use crate::wire::Reader;
+use hdrhistogram::Histogram;
 use rustc_hash::FxHashMap;
 use serde::Serialize;
 
@@ -131,8 +132,14 @@
     pub hot: Option<(usize, f64)>,
     /// By class.
     pub tally: Vec<Tally>,
-    /// Latency of served requests by class, in nanoseconds.
-    pub latencies: Vec<Vec<Nanos>>,
+    /// Latency of served requests by class, in microseconds.
+    pub latencies: Vec<Histogram<u64>>,
+}
+
+/// Microseconds up to an hour, to three digits; memory is fixed.
+fn latencies() -> Histogram<u64> {
+    // The bounds are sound; a histogram of any size would do as well.
+    Histogram::new_with_bounds(1, 3_600_000_000, 3).unwrap_or_else(|_| unreachable!("sound bounds"))
 }
 
 impl Clients {
@@ -153,7 +160,7 @@
             burst: 1.0,
             hot: None,
             tally: vec![Tally::default(); day.classes.len()],
-            latencies: vec![Vec::new(); day.classes.len()],
+            latencies: day.classes.iter().map(|_| latencies()).collect(),
         }
     }
 
@@ -178,7 +185,10 @@
         let share = d.within(day.clients.try_share);
         let honours = d.chance(day.clients.honour);
         let leaves = d.chance(day.clients.impatient);
-        let when = (d.unit() * c.deadline as f64) as Nanos;
+        let when = match day.clients.leaves {
+            Some(within) => d.within(within).round() as Nanos,
+            None => (d.unit() * c.deadline as f64) as Nanos,
+        };
         let key = d.bits();
         let fresh = d.chance(day.clients.fresh);
         let request = Request {
@@ -268,7 +278,7 @@
                     tally.late += 1;
                     tally.worth.1 += c.worth * c.late;
                 }
-                self.latencies[class].push(took);
+                self.latencies[class].saturating_record((took / 1000).max(1));
             }
             Ending::Refused(_) => tally.refused += 1,
             Ending::Left => tally.left += 1,
--- a/crates/emulator/src/day.rs
+++ b/crates/emulator/src/day.rs
@@ -185,6 +185,8 @@
     pub honour: f64,
     /// Share that leaves early.
     pub impatient: f64,
+    /// When those leave, least and most; if not given, at any moment.
+    pub leaves: Option<(f64, f64)>,
     /// Share on fresh connections.
     pub fresh: f64,
     /// Bad clients a second.
@@ -304,6 +306,7 @@
                 backoff: (nanos(c.backoff.0), nanos(c.backoff.1)),
                 honour: span(&mut d, c.honour),
                 impatient: span(&mut d, c.impatient),
+                leaves: c.leaves.map(|t| (t.0 * 1e9, t.1 * 1e9)),
                 fresh: span(&mut d, c.fresh),
                 bad: span(&mut d, c.bad),
             }
--- a/crates/emulator/src/emulator.rs
+++ b/crates/emulator/src/emulator.rs
@@ -18,6 +18,7 @@
 use cometcroft_sidecar::counters::Counters;
 use cometcroft_sidecar::discovery::Source;
 use cometcroft_sidecar::shutdown::Shutdown;
+use hdrhistogram::Histogram;
 use rustc_hash::FxHashMap;
 use serde::Serialize;
 use serde_json::json;
@@ -517,12 +518,8 @@
         let worth = |pick: fn(&Tally) -> f64| self.clients.tally.iter().map(pick).sum::<f64>();
         let done: f64 = self.sites.iter().map(|s| s.node.done).sum();
         let useful: f64 = self.sites.iter().map(|s| s.node.useful).sum();
-        let latency = |all: &Vec<Nanos>| {
-            let mut all = all.clone();
-            all.sort_unstable();
-            let at = |q: f64| all.get(((all.len() as f64 - 1.0).max(0.0) * q) as usize).copied().unwrap_or(0);
-            (at(0.5) as f64 / 1e6, at(0.99) as f64 / 1e6)
-        };
+        let at = |all: &Histogram<u64>, q| all.value_at_quantile(q) as f64 / 1e3;
+        let latency = |all: &Histogram<u64>| (at(all, 0.5), at(all, 0.99));
         Report {
             scenario: self.day.name.clone(),
             seed: self.day.seed,
@@ -1274,14 +1271,10 @@
         let instances = self.sidecars.iter().filter(|o| o.tier == tier).count();
         let mut settings = self.day.settings(tier, s.rank, s.zone, instances);
         if s.tier == 0 {
-            match self.defect {
-                Some(Defect::ForgetsDrains) => settings["contract"]["drain-grace-ns"] = json!(10 * SEC),
-                Some(Defect::FloodsCold) => {
-                    settings["contract"]["cold-from"] = json!(1.0);
-                    settings["contract"]["ramp-time-ns"] = json!(MS);
-                    settings["contract"]["fall-multiple"] = json!(1000.0);
-                }
-                _ => {}
+            if self.defect == Some(Defect::FloodsCold) {
+                settings["contract"]["cold-from"] = json!(1.0);
+                settings["contract"]["ramp-time-ns"] = json!(MS);
+                settings["contract"]["fall-multiple"] = json!(1000.0);
             }
         }
         let list: serde_json::Value =
@@ -1313,6 +1306,7 @@
         match defect {
             Some(Defect::AnswersLate) => platform.run_slow(0.95),
             Some(Defect::AnswersTwice) => platform.write_twice(),
+            Some(Defect::ForgetsDrains) => platform.ignore_drains(),
             _ => {}
         }
         let listener = platform.listen(s.address);
--- a/crates/emulator/src/judge.rs
+++ b/crates/emulator/src/judge.rs
@@ -155,7 +155,6 @@
 struct Sidecar {
     /// What discovery has told it.
     list: BTreeMap<String, Told>,
-    clients: BTreeSet<ConnId>,
     ended: bool,
 }
 
@@ -345,9 +344,6 @@
             }
             Passed::Accepted => {
                 self.clients.insert(conn, Client::default());
-                if let Some(sidecar) = self.sidecars.get_mut(&pid) {
-                    sidecar.clients.insert(conn);
-                }
                 self.bad_due.push_back((at + BAD_WITHIN, conn));
             }
             Passed::In(bytes, sent) if self.clients.contains_key(&conn) => {
--- a/crates/emulator/src/platform.rs
+++ b/crates/emulator/src/platform.rs
@@ -21,9 +21,10 @@
     kernel: Rc<Kernel<E>>,
     pid: Pid,
     host: HostId,
-    /// Planted defects: its clock's pace, and whether what a server writes goes out twice.
+    /// Planted defects: its clock's pace, whether what a server writes goes out twice, whether it hears of drains.
     pace: f64,
     twice: bool,
+    deaf: bool,
 }
 
 impl<E> Clone for Emulated<E> {
@@ -35,7 +36,7 @@
 impl<E: 'static> Emulated<E> {
     /// The platform of a process on a host.
     pub fn new(kernel: Rc<Kernel<E>>, pid: Pid, host: HostId) -> Self {
-        Emulated { kernel, pid, host, pace: 1.0, twice: false }
+        Emulated { kernel, pid, host, pace: 1.0, twice: false, deaf: false }
     }
 
     /// A planted defect: its clock runs at this pace.
@@ -43,6 +44,11 @@
         self.pace = pace;
     }
 
+    /// A planted defect: it reads that nodes are up where it is told that they drain.
+    pub fn ignore_drains(&mut self) {
+        self.deaf = true;
+    }
+
     /// A planted defect: whatever it writes to clients goes out twice.
     pub fn write_twice(&mut self) {
         self.twice = true;
@@ -61,6 +67,7 @@
     conn: ConnId,
     side: Side,
     twice: bool,
+    deaf: bool,
 }
 
 impl<E> fmt::Debug for EmulatedStream<E> {
@@ -84,6 +91,12 @@
         match read {
             None => Poll::Pending,
             Some(Err(error)) => Poll::Ready(Err(error)),
+            Some(Ok(bytes)) if self.deaf => {
+                let text = String::from_utf8_lossy(&bytes).replace("\"draining\"", "\"up\"      ");
+                // What is no text is passed on as it came.
+                buf.put_slice(if text.len() == bytes.len() { text.as_bytes() } else { &bytes });
+                Poll::Ready(Ok(()))
+            }
             Some(Ok(bytes)) => {
                 buf.put_slice(&bytes);
                 Poll::Ready(Ok(()))
@@ -148,7 +161,13 @@
             next.map_or(Poll::Pending, Poll::Ready)
         })
         .await?;
-        Ok(EmulatedStream { kernel: platform.kernel.clone(), conn, side: 1, twice: platform.twice })
+        Ok(EmulatedStream {
+            kernel: platform.kernel.clone(),
+            conn,
+            side: 1,
+            twice: platform.twice,
+            deaf: false,
+        })
     }
 }
 
@@ -179,7 +198,13 @@
     async fn connect(&self, to: SocketAddr) -> io::Result<EmulatedStream<E>> {
         let opened = self.kernel.with_net(|net| net.connect(Owner::Process(self.pid), self.host, to));
         // Whoever stops waiting drops the stream, and with it the attempt.
-        let stream = EmulatedStream { kernel: self.kernel.clone(), conn: opened?, side: 0, twice: false };
+        let stream = EmulatedStream {
+            kernel: self.kernel.clone(),
+            conn: opened?,
+            side: 0,
+            twice: false,
+            deaf: self.deaf,
+        };
         poll_fn(|cx| {
             let up = self.kernel.with_net(|net| net.opened(stream.conn, cx.waker()));
             up.map_or(Poll::Pending, Poll::Ready)
--- a/crates/emulator/src/sabotage.rs
+++ b/crates/emulator/src/sabotage.rs
@@ -10,9 +10,9 @@
 use cometcroft_sidecar::http::server::Request;
 use cometcroft_sidecar::session::{Carrier, Ended, Later, Probed};
 use serde::{Deserialize, Serialize};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// A planted defect.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -26,9 +26,9 @@
     AnothersAnswer,
     /// A connection is kept for good after each attempt that got no answer.
     LeaksConnections,
-    /// A drain is taken to have a grace of ten seconds.
+    /// It reads that a node is up where it is told that it drains.
     ForgetsDrains,
-    /// A start is not spared.
+    /// A start is not spared: all goes to the newest node for two seconds.
     FloodsCold,
     /// Its clock runs slow.
     AnswersLate,
@@ -70,12 +70,14 @@
     pub kept: Rc<RefCell<Option<Answer>>>,
     /// Connections that were kept.
     pub hoard: Rc<RefCell<Vec<Lease<Sim>>>>,
+    /// The newest backend server, and when it was first sent to.
+    pub newest: Cell<Option<(UpstreamId, Instant)>>,
 }
 
 impl Saboteur {
     /// A sound carrier with a defect.
     pub fn new(inner: HttpCarrier<Sim>, defect: Defect) -> Saboteur {
-        Saboteur { inner, defect, kept: Rc::default(), hoard: Rc::default() }
+        Saboteur { inner, defect, kept: Rc::default(), hoard: Rc::default(), newest: Cell::new(None) }
     }
 }
 
@@ -89,6 +91,18 @@
     }
 
     fn dispatch(&self, to: UpstreamId, payload: Rc<Request>, timeout: Duration) -> Later<Ended<Answer>> {
+        let now = self.platform().now();
+        if self.newest.get().is_none_or(|(newest, _)| to > newest) {
+            self.newest.set(Some((to, now)));
+        }
+        let to = match self.newest.get() {
+            Some((newest, since))
+                if self.defect == Defect::FloodsCold && now < since + Duration::from_secs(2) =>
+            {
+                newest
+            }
+            _ => to,
+        };
         let sound = self.inner.dispatch(to, payload.clone(), timeout);
         match self.defect {
             Defect::ResendsWhatRan => Box::pin(async move {
--- a/crates/emulator/src/scenario.rs
+++ b/crates/emulator/src/scenario.rs
@@ -39,7 +39,8 @@
         _ => return Err(E::custom(format!("time {text:?} needs a unit: ns, us, ms, s or m"))),
     };
     let number: f64 = number.trim().parse().map_err(|_| E::custom(format!("time {text:?} has no number")))?;
-    figure(number * scale)
+    // The clock has nanoseconds; what is written down again reads back as the same time.
+    figure((number * scale * 1e9).round() / 1e9)
 }
 
 struct SpanVisitor;
@@ -207,6 +208,8 @@
         honour: Span = Span(0.8, 1.0),
         /// Share of first tries whose client leaves early, at a random moment.
         impatient: Span = Span(0.0, 0.01),
+        /// When such a client leaves after its send; if not given, at any moment of its time.
+        leaves: Option<Time> = None,
         /// Share of requests that come on a connection of their own.
         fresh: Span = n(0.02),
         /// Bad clients a second: what they send is drawn from everything that can't be a request.
@@ -601,6 +604,7 @@
     "restart",
     "descriptors",
     "bad-clients",
+    "cold-starts",
     "mixed",
 ];
 
