--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Build, test, lint and run. `make run` needs the environment of one sidecar, see README.md.
-.PHONY: build test lint run
+.PHONY: build test lint swarm run
 
 build:
 	cargo build --release --locked --workspace
@@ -11,5 +11,9 @@
 	cargo fmt --all --check
 	cargo clippy --locked --workspace --all-targets -- -D warnings
 
+# Every shipped scenario under these seeds; a broken rule names its seed and step.
+swarm:
+	cargo run --release --locked -p cometcroft-lab -- swarm all --seeds 1..40 --jobs 4 --short 10
+
 run: build
 	exec target/release/cometcroft
--- /dev/null
+++ b/crates/emulator/src/emulator/sidecars.rs
@@ -0,0 +1,117 @@
+//! The sidecars' part: configuration, start, reload, end.
+
+use super::{Emulator, Event, Process, Sim};
+use crate::dice::Dice;
+use crate::kernel::{MS, Nanos, SEC};
+use crate::sabotage::{Defect, Saboteur};
+use cometcroft_sidecar::config::Config;
+use cometcroft_sidecar::counters::Counters;
+use cometcroft_sidecar::discovery::Source;
+use cometcroft_sidecar::shutdown::Shutdown;
+use serde_json::json;
+use std::rc::Rc;
+
+impl Emulator {
+    pub(super) fn config(&self, i: usize) -> String {
+        let s = &self.sidecars[i];
+        let tier = s.tier;
+        let instances = self.sidecars.iter().filter(|o| o.tier == tier).count();
+        let mut settings = self.day.settings(tier, s.rank, s.zone, instances);
+        if s.tier == 0 && self.defect == Some(Defect::FloodsCold) {
+            settings["contract"]["cold-from"] = json!(1.0);
+            settings["contract"]["ramp-time-ns"] = json!(MS);
+            settings["contract"]["fall-multiple"] = json!(1000.0);
+        }
+        let list: serde_json::Value =
+            serde_json::from_str(&self.discovery.list(tier, None)).unwrap_or_default();
+        let seed = Dice::new(self.day.seed, &format!("{} life {}", s.name, s.life)).bits();
+        json!({
+            "name": s.name, "listen": s.address.to_string(), "discovery": self.list_at.to_string(),
+            "seed": format!("{seed:016x}"), "known": list, "settings": settings,
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.day.sockets},
+        })
+        .to_string()
+    }
+
+    pub(super) fn start(&mut self, i: usize) {
+        if self.sidecars[i].process.is_some()
+            || self.sidecars[i].of_node.is_some_and(|n| !self.sites[n].alive)
+        {
+            return;
+        }
+        self.sidecars[i].life += 1;
+        let text = self.config(i);
+        // What the emulator itself writes reads back; one that doesn't starts nothing, and the day shows it.
+        let Ok(config) = Config::parse(&text, |_| None) else { return };
+        let s = &mut self.sidecars[i];
+        let (host, sockets) = (s.host, self.day.sockets);
+        let pid = self.kernel.with_net(|net| net.process(sockets));
+        let mut platform = Sim::new(self.kernel.clone(), pid, host);
+        let defect = self.defect.filter(|_| s.tier == 0);
+        match defect {
+            Some(Defect::AnswersLate) => platform.run_slow(0.95),
+            Some(Defect::AnswersTwice) => platform.write_twice(),
+            Some(Defect::ForgetsDrains) => platform.ignore_drains(),
+            _ => {}
+        }
+        let listener = platform.listen(s.address);
+        let source = Source::new(config.discovery);
+        let shutdown = Rc::new(Shutdown::new(platform.clone(), config.longest_deadline()));
+        let counters = Rc::new(Counters::default());
+        let known = config.known.to_string();
+        let (kernel, life) = (self.kernel.clone(), s.life);
+        let (own, src, down, count) = (platform.clone(), source.clone(), shutdown.clone(), counters.clone());
+        self.kernel.spawn(pid, async move {
+            match defect {
+                None => {
+                    let _ = cometcroft_sidecar::run(own, config, listener, src, down, count).await;
+                }
+                Some(Defect::LosesOnRestart) => {
+                    let told = down.clone();
+                    tokio::select! {
+                        biased;
+                        () = told.begun() => {}
+                        _ = cometcroft_sidecar::run(own, config, listener, src, down, count) => {}
+                    }
+                }
+                Some(defect) => {
+                    let wrap = |carrier| Saboteur::new(carrier, defect);
+                    let _ = cometcroft_sidecar::run_with(own, config, listener, src, down, count, wrap).await;
+                }
+            }
+            kernel.world_at(kernel.now(), Event::Exited(i, life));
+        });
+        s.process = Some(Process { pid, platform, source, shutdown, counters, term: None });
+        self.judge.started(pid, &known);
+        if s.of_node.is_none() {
+            self.kernel.world_at(self.kernel.now() + MS, Event::Front(i));
+        }
+    }
+
+    /// A sidecar's process is over: killed, or by itself.
+    pub(super) fn kill(&mut self, i: usize, itself: bool) {
+        let Some(process) = self.sidecars[i].process.take() else { return };
+        let now = self.kernel.now();
+        // What has passed until now is seen first.
+        let taps = self.kernel.taps();
+        for tap in &taps {
+            self.record(tap);
+        }
+        self.judge.look(self.step, now, taps);
+        self.judge.ended(process.pid, itself, process.term);
+        self.kernel.kill(process.pid);
+        drop(process.platform);
+        if self.sidecars[i].of_node.is_none() {
+            let notice = 2 * SEC + (self.bad_dice.unit() * 1.9e9) as Nanos;
+            self.kernel.world_at(now + notice, Event::Believe(i, false));
+            self.kernel.world_at(now + SEC, Event::Start(i));
+        }
+    }
+
+    pub(super) fn hup(&mut self, text: &str, i: usize) {
+        if let Some(process) = &self.sidecars[i].process {
+            let read = Config::parse(text, |_| None);
+            let _ = cometcroft_sidecar::reload(read, &process.source, &process.counters);
+        }
+    }
+}
