--- /dev/null
+++ b/crates/emulator/benches/day.rs
@@ -0,0 +1,84 @@
+//! What a day costs, and its parts: a step of the kernel, a message over the network, a message read.
+//!
+//! `cargo bench -p cometcroft-emulator`
+
+use bytes::Bytes;
+use cometcroft_emulator::day::Day;
+use cometcroft_emulator::emulator::Emulator;
+use cometcroft_emulator::kernel::{Kernel, MS, SEC};
+use cometcroft_emulator::net::{Links, Net, Owner, Party};
+use cometcroft_emulator::scenario::Scenario;
+use cometcroft_emulator::wire::{Call, Reader};
+use criterion::{Criterion, Throughput, criterion_group, criterion_main};
+use std::hint::black_box;
+
+const LINKS: Links = Links { local: 3e4, same: 2e5, cross: 6e5, client: 7e5, jitter: 0.2 };
+
+fn days(c: &mut Criterion) {
+    let mut group = c.benchmark_group("day");
+    group.sample_size(10);
+    for name in ["calm", "two-tier", "mixed"] {
+        let scenario = Scenario::find(name).expect("shipped").shortened(10.0);
+        let steps = Emulator::new(Day::draw(&scenario, 1), None).play(false).steps;
+        group.throughput(Throughput::Elements(steps));
+        group.bench_function(name, |b| {
+            b.iter(|| Emulator::new(Day::draw(&scenario, 1), None).play(false).steps)
+        });
+    }
+    group.finish();
+}
+
+fn parts(c: &mut Criterion) {
+    let mut group = c.benchmark_group("part");
+    group.throughput(Throughput::Elements(1000));
+    group.bench_function("1000 sleeps", |b| {
+        b.iter(|| {
+            let kernel = Kernel::<()>::new(Net::new(LINKS, 1));
+            let pid = kernel.with_net(|net| net.process(9));
+            let own = kernel.clone();
+            drop(kernel.spawn(pid, async move {
+                for _ in 0..1000 {
+                    own.sleep_until(own.now() + MS).await;
+                }
+            }));
+            kernel.run_ready();
+            while kernel.next(10 * SEC).is_some() {
+                kernel.run_ready();
+            }
+            kernel.now()
+        });
+    });
+    group.bench_function("1000 messages", |b| {
+        b.iter(|| {
+            let kernel = Kernel::<()>::new(Net::new(LINKS, 1));
+            let conn = kernel.with_net(|net| {
+                let (host, at) = (net.host(0), ([127, 0, 0, 1], 80).into());
+                net.listen(at, Owner::Party(Party(1)), host, 8);
+                net.connect(Owner::Party(Party(2)), net.clients(), at)
+            });
+            let conn = conn.expect("a party has descriptors");
+            while kernel.next(SEC).is_some() {}
+            for _ in 0..1000 {
+                kernel.with_net(|net| net.send(conn, 0, Bytes::from_static(b"a message of some bytes")));
+            }
+            while kernel.next(SEC).is_some() {}
+            kernel.notes().len()
+        });
+    });
+    let bytes =
+        Call { class: "plan", post: false, id: "c1", budget: SEC, key: None, again: false, work: 0.1 }
+            .bytes();
+    group.bench_function("1000 requests read", |b| {
+        b.iter(|| {
+            let mut reader = Reader::default();
+            for _ in 0..1000 {
+                reader.push(&bytes);
+                black_box(reader.take().ok().flatten().and_then(|m| m.budget()));
+            }
+        });
+    });
+    group.finish();
+}
+
+criterion_group!(benches, days, parts);
+criterion_main!(benches);
--- a/crates/emulator/src/clients.rs
+++ b/crates/emulator/src/clients.rs
@@ -178,7 +178,7 @@
         let class = d.weighted(day.classes.iter().map(|c| c.share));
         let c = &day.classes[class];
         let zone = d.weighted(day.clients.zones.iter().copied());
-        let work = d.within(c.work);
+        let work = d.spread(c.work.0, c.work.1);
         let more = d.unit() * day.clients.retries.fract();
         let more = day.clients.retries.trunc() as u32
             + u32::from(day.clients.retries.fract() > 0.0 && more < day.clients.retries.fract() * 0.5);
--- a/crates/emulator/src/day.rs
+++ b/crates/emulator/src/day.rs
@@ -32,7 +32,7 @@
     pub name: String,
     /// Its share.
     pub share: f64,
-    /// Its work in seconds, least and most.
+    /// Its work in seconds: mean, and standard deviation over the mean.
     pub work: (f64, f64),
     /// Full worth until then.
     pub aim: Nanos,
@@ -281,7 +281,7 @@
             Class {
                 name: class.name.clone(),
                 share: span(&mut d, class.share),
-                work: (class.work.0, class.work.1),
+                work: (d.within((class.work.0, class.work.1)), span(&mut d, class.cv)),
                 aim: time(&mut d, class.aim),
                 deadline: time(&mut d, class.deadline),
                 worth: span(&mut d, class.worth),
@@ -300,7 +300,9 @@
             let even = (1.0 - skew) / zones as f64;
             ClientDraw {
                 rate: (rate, rate * ramp),
-                zones: (0..zones).map(|z| even + if z == busy { skew } else { 0.0 }).collect(),
+                zones: c.zone_shares.clone().unwrap_or_else(|| {
+                    (0..zones).map(|z| even + if z == busy { skew } else { 0.0 }).collect()
+                }),
                 retries: span(&mut d, c.retries),
                 try_share: (c.try_share.0, c.try_share.1),
                 backoff: (nanos(c.backoff.0), nanos(c.backoff.1)),
@@ -334,7 +336,12 @@
                 client: time(&mut links, sc.links.client) as f64,
                 jitter: span(&mut links, sc.links.jitter),
             },
-            sidecars: (0..sidecars).map(|i| i % zones).collect(),
+            sidecars: (0..sidecars)
+                .map(|i| match &sc.sidecars.zones {
+                    Some(named) => zone_of(sc, &named[i % named.len()]),
+                    None => i % zones,
+                })
+                .collect(),
             sockets: whole(&mut top, sc.sidecars.sockets),
             classes,
             tiers,
@@ -430,6 +437,10 @@
     }
 }
 
+fn zone_of(sc: &Scenario, name: &str) -> usize {
+    sc.day.zones.iter().position(|zone| zone == name).unwrap_or(0)
+}
+
 fn draw_nodes(sc: &Scenario, tiers: &[TierDraw], seed: u64, zones: usize) -> Vec<NodeDraw> {
     let mut nodes = Vec::new();
     for (t, tier) in sc.tiers.iter().enumerate() {
@@ -451,7 +462,7 @@
             nodes.push(NodeDraw {
                 name: format!("{}-{}", section.name, have[kind]),
                 tier: t,
-                zone: i % zones,
+                zone: section.zone.as_ref().map_or(i % zones, |zone| zone_of(sc, zone)),
                 cores,
                 speed: span(&mut d, section.speed),
                 slots: ((span(&mut d, section.slots_per_core) * cores as f64) as usize).max(1),
--- a/crates/emulator/src/dice.rs
+++ b/crates/emulator/src/dice.rs
@@ -3,7 +3,7 @@
 use crate::kernel::Nanos;
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use rand_distr::{Distribution, Exp1};
+use rand_distr::{Distribution, Exp1, StandardNormal};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// One stream of random numbers.
@@ -42,6 +42,13 @@
         (x * mean as f64) as Nanos
     }
 
+    /// Log-normal of this mean and of this standard deviation over the mean.
+    pub fn spread(&mut self, mean: f64, cv: f64) -> f64 {
+        let normal: f64 = StandardNormal.sample(&mut self.0);
+        let variance = (1.0 + cv * cv).ln();
+        mean * (normal * variance.sqrt() - variance / 2.0).exp()
+    }
+
     /// 64 random bits.
     pub fn bits(&mut self) -> u64 {
         self.0.next_u64()
--- a/crates/emulator/src/node.rs
+++ b/crates/emulator/src/node.rs
@@ -404,9 +404,9 @@
 
     fn crowding(&mut self, now: Nanos) {
         let Some(c) = self.draw.crowding else { return };
-        let (cores, waiting) = (self.draw.cores as f64, self.waiting.len() as f64);
-        // What is in work beyond the cores waits for them as well.
-        let waiting = waiting + (self.active() as f64 - cores).max(0.0);
+        let cores = self.draw.cores as f64;
+        // Whatever it holds beyond its cores: what waits for a slot, for a core, and for the next tier.
+        let waiting = (self.load().0 as f64 - cores).max(0.0);
         if let Some(since) = self.slowed_since {
             if (self.active() as f64) < c.below * cores {
                 let idle = *self.idle_since.get_or_insert(now);
--- a/crates/emulator/src/scenario.rs
+++ b/crates/emulator/src/scenario.rs
@@ -186,6 +186,8 @@
         count: Span = n(3.0),
         /// Descriptors of each.
         sockets: Span = n(1024.0),
+        /// Their zones, one each; the zones in turn if not given.
+        zones: Option<Vec<String>> = None,
     }
 }
 
@@ -198,6 +200,8 @@
         ramp: Span = n(1.0),
         /// Share of the traffic that the busiest zone gets on top of an even share.
         skew: Span = n(0.2),
+        /// Shares of the zones, in their order, in place of `skew`.
+        zone_shares: Option<Vec<f64>> = None,
         /// Further tries that a client makes by itself, on average.
         retries: Span = Span(0.0, 1.0),
         /// Share of its deadline that a try is given.
@@ -273,8 +277,11 @@
     pub name: String,
     /// Its share of the first tries, beside the other classes' figures.
     pub share: Span,
-    /// The work of a request on a core of the yardstick's speed, over all tiers.
+    /// The mean work of a request on a core of the yardstick's speed, over all tiers.
     pub work: Time,
+    /// Standard deviation of the work over its mean (log-normal); 0: all alike.
+    #[serde(default = "zero")]
+    pub cv: Span,
     /// An answer within this time has the full worth.
     pub aim: Time,
     /// How long a client waits in all.
@@ -359,6 +366,9 @@
     pub name: String,
     /// Its share of the tier, beside the other kinds' figures.
     pub share: Span,
+    /// The zone that its nodes are in; the zones in turn if not given.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub zone: Option<String>,
     /// Cores.
     pub cores: Span,
     /// Speed of a core beside the yardstick's.
@@ -383,6 +393,9 @@
     pub cancel: CancelWord,
 }
 
+fn zero() -> Span {
+    n(0.0)
+}
 fn slots() -> Span {
     Span(10.0, 24.0)
 }
@@ -736,6 +749,17 @@
                 return bad("[[class]]", i, "work", "must be positive");
             }
         }
+        let known = |zone: &String| self.day.zones.contains(zone);
+        if self.sidecars.zones.as_ref().is_some_and(|zones| zones.is_empty() || !zones.iter().all(known)) {
+            return bad("[sidecars]", 0, "zones", "names a zone that is not in [day] zones");
+        }
+        if let Some(shares) = &self.clients.zone_shares
+            && (shares.len() != self.day.zones.len()
+                || !shares.iter().all(|s| s.is_finite() && *s >= 0.0)
+                || shares.iter().sum::<f64>() <= 0.0)
+        {
+            return bad("[clients]", 0, "zone_shares", "wants one figure a zone, not all 0");
+        }
         let mut kind_at = 0;
         for (i, tier) in self.tiers.iter().enumerate() {
             if tier.nodes.0 < 1.0 {
@@ -745,6 +769,9 @@
                 return bad("[[tier]]", i, "kind", "must not be empty");
             }
             for kind in &tier.kind {
+                if kind.zone.as_ref().is_some_and(|zone| !known(zone)) {
+                    return bad("[[tier.kind]]", kind_at, "zone", "is not in [day] zones");
+                }
                 if kind.cores.0 < 1.0 {
                     return bad("[[tier.kind]]", kind_at, "cores", "must be at least 1");
                 }
--- a/crates/emulator/tests/hard_cases.rs
+++ b/crates/emulator/tests/hard_cases.rs
@@ -4,7 +4,7 @@
 use cometcroft_emulator::emulator::{Emulator, Report};
 use cometcroft_emulator::judge::Rule;
 use cometcroft_emulator::sabotage::Defect;
-use cometcroft_emulator::scenario::{SHIPPED, Scenario};
+use cometcroft_emulator::scenario::{SHIPPED, Scenario, Time};
 
 /// One sidecar, one tier of a few equal nodes, one class; `more` holds faults and clients.
 fn small(class: &str, nodes: u32, more: &str) -> Scenario {
@@ -100,6 +100,48 @@
     }
 }
 
+#[test]
+fn a_budget_that_ends_in_the_instant_of_the_answer_gives_one_answer() {
+    let within = |us: u64| {
+        let clients = "[clients]\nrate = 0.001\nretries = 0\nimpatient = 0\ntry_share = 1\nfresh = 0";
+        let mut scenario = small("effect = \"unsafe\"", 1, clients);
+        scenario.classes[0].aim = Time(1e-6, 1e-6);
+        scenario.classes[0].deadline = Time(us as f64 / 1e6, us as f64 / 1e6);
+        let report = play(&scenario, 1);
+        let tally = &report.tally[0];
+        assert_eq!(
+            (tally.asked, tally.late + tally.failed + tally.refused),
+            (1, 1),
+            "one ending within {us} us"
+        );
+        tally.late == 1
+    };
+    let (mut short, mut long) = (1_000, 500_000);
+    while long - short > 1 {
+        let middle = (short + long) / 2;
+        if within(middle) {
+            long = middle;
+        } else {
+            short = middle;
+        }
+    }
+    assert!(!within(short) && within(long), "both sides of one microsecond");
+}
+
+#[test]
+fn sigterm_at_every_stage_of_a_request_loses_none() {
+    for ms in 0..60 {
+        let fault = format!("[[fault]]\nkind = \"sidecar-restart\"\nat = \"{ms}ms\"\n");
+        for effect in ["safe", "unsafe"] {
+            let clients = format!("[clients]\n{CALM}\nfresh = 0.5\n{fault}");
+            let report = play(&small(&format!("effect = \"{effect}\""), 2, &clients), ms);
+            let tally = &report.tally[0];
+            // Who comes once the front has noticed finds nobody; all that was taken is answered, as the judge saw.
+            assert!(tally.in_aim > 0 && tally.in_aim + tally.failed == tally.asked, "{ms} ms: {tally:?}");
+        }
+    }
+}
+
 #[test]
 fn a_drain_notice_in_the_middle_of_a_retry_or_of_connecting_bars_what_has_not_begun() {
     let faults = r#"
@@ -124,7 +166,7 @@
     let list = "[discovery]\nnotice = [\"1ms\", \"300ms\"]\nperiod = \"10ms\"";
     let clients = "[clients]\nrate = 60\nretries = 1";
     let mut scenario = small("effect = \"safe\"", 4, &format!("{list}\n{clients}\n{faults}"));
-    scenario.day.length = cometcroft_emulator::scenario::Time(3.0, 3.0);
+    scenario.day.length = Time(3.0, 3.0);
     let again: u64 = (1..=25).map(|seed| play(&scenario, seed)).map(|r| r.seen.attempts - r.seen.taken).sum();
     assert!(again > 100, "attempts were repeated while notices came: {again}");
 }
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -5,7 +5,7 @@
 mod swarm;
 mod table;
 
-use clap::{Parser, Subcommand, ValueEnum};
+use clap::{Parser, Subcommand};
 use cometcroft_emulator::day::Day;
 use cometcroft_emulator::emulator::{Emulator, Report};
 use cometcroft_emulator::sabotage::Defect;
@@ -30,8 +30,8 @@
     #[arg(long, value_name = "SECONDS", value_parser = positive)]
     short: Option<f64>,
     /// Plant a defect into the first tier's sidecars.
-    #[arg(long)]
-    defect: Option<DefectArg>,
+    #[arg(long, value_parser = defect)]
+    defect: Option<Defect>,
 }
 
 #[derive(Subcommand)]
@@ -76,8 +76,8 @@
         #[arg(long, value_name = "SECONDS", value_parser = positive)]
         short: Option<f64>,
         /// Plant a defect.
-        #[arg(long)]
-        defect: Option<DefectArg>,
+        #[arg(long, value_parser = defect)]
+        defect: Option<Defect>,
         /// Stop at the first failing seed.
         #[arg(long)]
         first: bool,
@@ -100,24 +100,10 @@
     },
 }
 
-/// A planted defect.
-#[derive(Clone, Copy, ValueEnum)]
-enum DefectArg {
-    ResendsWhatRan,
-    TwoAtOnce,
-    AnothersAnswer,
-    LeaksConnections,
-    ForgetsDrains,
-    FloodsCold,
-    AnswersLate,
-    AnswersTwice,
-    LosesOnRestart,
-}
-
-impl From<DefectArg> for Defect {
-    fn from(arg: DefectArg) -> Defect {
-        Defect::ALL[arg as usize]
-    }
+fn defect(text: &str) -> Result<Defect, String> {
+    let names: Vec<String> = Defect::ALL.iter().map(|d| d.name()).collect();
+    let at = names.iter().position(|name| name == text);
+    at.map(|at| Defect::ALL[at]).ok_or_else(|| format!("the defects are {}", names.join(", ")))
 }
 
 fn positive(text: &str) -> Result<f64, String> {
@@ -170,7 +156,7 @@
 fn run(command: Command) -> Result<ExitCode, Box<dyn std::error::Error>> {
     match command {
         Command::Play { which, seed, json } => {
-            let report = Emulator::new(which.day(seed)?, which.defect.map(Into::into)).play(false);
+            let report = Emulator::new(which.day(seed)?, which.defect).play(false);
             if json {
                 println!("{}", serde_json::to_string_pretty(&report)?);
             } else {
@@ -179,7 +165,7 @@
             Ok(verdict(&report))
         }
         Command::Replay { which, seed, until, from } => {
-            let mut emulator = Emulator::new(which.day(seed)?, which.defect.map(Into::into));
+            let mut emulator = Emulator::new(which.day(seed)?, which.defect);
             emulator.trace(Box::new(move |step, at, what| {
                 if step >= from {
                     println!("{step:>8}  {:>12.6} s  {what}", at as f64 / 1e9);
@@ -196,11 +182,11 @@
                 true => SHIPPED.iter().map(|(name, _)| (*name).to_owned()).collect(),
                 false => scenarios,
             };
-            let found = swarm::run(&names, seeds, usize::from(jobs), short, defect.map(Into::into), first)?;
+            let found = swarm::run(&names, seeds, usize::from(jobs), short, defect, first)?;
             Ok(if found == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE })
         }
         Command::Shrink { which, seed, out } => {
-            let text = shrink::run(&which.scenario()?, seed, which.defect.map(Into::into))?;
+            let text = shrink::run(&which.scenario()?, seed, which.defect)?;
             std::fs::write(&out, text).map_err(|e| format!("{}: {e}", out.display()))?;
             Ok(ExitCode::SUCCESS)
         }
