--- a/crates/emulator/src/emulator/nodes.rs
+++ b/crates/emulator/src/emulator/nodes.rs
@@ -148,6 +148,7 @@
             id,
             class,
             work: whole_work * self.day.tiers[tier].work,
+            expected: self.day.classes[class].work.0 * self.day.tiers[tier].work,
             whole_work,
             calls,
             expires: now + message.budget().unwrap_or(self.day.classes[class].deadline),
--- a/crates/emulator/src/node.rs
+++ b/crates/emulator/src/node.rs
@@ -18,6 +18,8 @@
     pub class: usize,
     /// Work that it does here, in seconds on a yardstick core.
     pub work: f64,
+    /// Work that a request of its class does here on average.
+    pub expected: f64,
     /// Work over all tiers, as it is handed on.
     pub whole_work: f64,
     /// Calls that it makes to the next tier.
@@ -338,14 +340,15 @@
         }
     }
 
-    /// Counts what is sent to it while it is cold, and falls over past the limit.
+    /// Counts what is sent to it while it is cold, and falls over past the limit. A request counts as its class does on
+    /// average: nothing on the wire tells a sidecar more, and the rule is one that it can keep.
     fn offer(&mut self, now: Nanos, ask: &Ask) {
         if !self.cold(now) {
             self.offered.clear();
             return;
         }
         let (multiple, window) = self.fall;
-        self.offered.push_back((now, ask.work, ask.by));
+        self.offered.push_back((now, ask.expected, ask.by));
         while self.offered.front().is_some_and(|(at, ..)| at + window < now) {
             self.offered.pop_front();
         }
