--- a/crates/emulator/src/emulator/list.rs
+++ b/crates/emulator/src/emulator/list.rs
@@ -39,7 +39,6 @@
 
     pub(super) fn list_goes(&mut self, down: bool) {
         let (address, host) = (self.list_at, self.list_host);
-        self.list_down = down;
         if down {
             self.discovery.down();
             self.list_conns.clear();
--- a/crates/emulator/src/emulator/nodes.rs
+++ b/crates/emulator/src/emulator/nodes.rs
@@ -133,7 +133,7 @@
         let whole_work = message.info("work").unwrap_or(0.05);
         let repeat = match message.header("idempotency-key") {
             // A tier below sees the key of the tier above as its own; each tier has its own memory of keys.
-            Some(key) => self.key_seen(&format!("{tier} {key}"), class, &id, now),
+            Some(key) => self.key_seen(&format!("{tier} {key}"), class, now),
             None => false,
         };
         let calls = match self.day.tiers.get(tier + 1) {
@@ -159,8 +159,7 @@
     }
 
     /// Whether a key has been seen within its window. A key that was refused has not.
-    pub(super) fn key_seen(&mut self, key: &str, class: usize, id: &str, now: Nanos) -> bool {
-        let _ = id;
+    pub(super) fn key_seen(&mut self, key: &str, class: usize, now: Nanos) -> bool {
         let window = self.day.classes[class].window;
         if now > self.keys_swept + SEC {
             self.keys_swept = now;
