--- a/crates/module/src/policy.rs
+++ b/crates/module/src/policy.rs
@@ -34,8 +34,9 @@
 /// Each upstream is walked by so many balancers, and each balancer walks so many rows at least.
 const COVER: f64 = 12.0;
 const LEAST_ROWS: f64 = 4.0;
-/// A row with more own calls out than this multiple of the mean is passed over until some return.
-const CROWDED_ROW: f64 = 1.5;
+/// A row with more own calls out than the mean, and this share more over the number of balancers, is passed
+/// over until some return. Danger: what all send beyond it to the row that looks idle chokes it.
+const CROWDED_ROW: f64 = 0.5;
 
 /// Requests taken and further attempts made within the look-back. One window gates retries after whatever
 /// outcome, second copies and moves. Danger: counted apart they would add up to more than is permitted.
@@ -628,7 +629,8 @@
         let out_each = self.rows.iter().filter_map(|&id| self.upstream(id)).map(|up| up.out).sum::<f64>()
             / self.rows.len().max(1) as f64;
         // First the sound rows that are not crowded, then sound rows, then any that the rules allow.
-        for (strict, crowd) in [(true, CROWDED_ROW * out_each), (true, f64::MAX), (false, f64::MAX)] {
+        let crowd = (1.0 + CROWDED_ROW / f64::from(self.settings.instances)) * out_each;
+        for (strict, crowd) in [(true, crowd), (true, f64::MAX), (false, f64::MAX)] {
             // Danger: a sound row whose turn is far off would lose its calls to those that fail them.
             if !strict && let Some(id) = self.soundest(now, request) {
                 return Some(id);
@@ -687,7 +689,7 @@
         !(tried || strict && unsound) && self.cold_allows(now, id)
     }
 
-    /// Rule 4: a cold upstream may be sent what a warm one is, times the share of its capacity that is up.
+    /// Rule 4: a cold upstream may be sent half the rule's multiple of what a warm one is, times its warmth.
     /// Danger: with few others to take the work, the walk alone would push it over.
     fn cold_allows(&mut self, now: Time, id: UpstreamId) -> bool {
         let Some(up) = self.upstream(id) else { return false };
@@ -695,8 +697,9 @@
         if warmth >= 1.0 {
             return true;
         }
-        let rate =
-            self.warm_rate * self.size(up) * warmth * (self.settings.rules.fall_multiple / 2.0).min(1.2);
+        // Half of what makes it fall. Danger: less leaves what was replaced to the few that are warm.
+        let multiple = (self.settings.rules.fall_multiple / 2.0).max(1.0);
+        let rate = self.warm_rate * self.size(up) * warmth * multiple;
         let most = (rate * self.settings.rules.fall_after.as_secs_f64() / 4.0).max(1.0);
         let Some(up) = self.upstream_mut(id) else { return false };
         up.cold_left = (up.cold_left + rate * now.saturating_sub(up.cold_at).as_secs_f64()).min(most);
--- a/crates/module/tests/scenarios.rs
+++ b/crates/module/tests/scenarios.rs
@@ -184,6 +184,28 @@
     assert!(stalled <= 8, "{stalled} of 100 to one that answers nothing");
 }
 
+/// Danger: a call or two more from each balancer is harmless alone; from all of them it chokes the one row whose last
+/// report was low.
+#[test]
+fn balancers_of_a_fleet_do_not_pile_up_on_the_row_that_all_think_idle() {
+    let mut most = 0;
+    for rank in 0..17 {
+        let settings = Settings { instances: 17, rank, ..Settings::example() };
+        let mut d = Drive::new(settings, (0..12).map(member).collect());
+        let mut met = [false; 12];
+        for _ in 0..200 {
+            let idle = |to: UpstreamId| load(if to == UpstreamId(3) { 0.0 } else { 6.0 });
+            let to = d.call(0, |to| (Outcome::Ok, ms(30), idle(to))).expect("someone takes it");
+            met[to.0 as usize] = true;
+            d.pass(ms(50));
+        }
+        // Then nothing answers for as long as six calls take to come.
+        let to: Vec<_> = (0..6).filter_map(|_| sent(&d.ask(0, ms(2000)).1)).collect();
+        most += to.iter().filter(|&&to| met[3] && to == UpstreamId(3)).count();
+    }
+    assert!(most <= 17, "{most} calls at once at one row");
+}
+
 #[test]
 fn when_every_row_is_crowded_calls_still_spread() {
     let mut d = Drive::new(Settings::example(), (0..5).map(member).collect());
