Bind what came of a broken list and ask soon for the rest: drains told in part kept

Tried and given up: asking again in the same instant. Re-asking takes 0.18 to 0.35 s at best, more than the grace, so what came of the list must bind by itself.

Lines at fault: the failure arm in discovery::watch, which dropped a body that had begun; STALLED of 500 ms for lists.

Change: directory::salvage takes drains and removals out of the part that came, the last row as far as it goes; lost news is owed and asked for up to four times, 50 ms apart on average, then twice as long each, with no hold; a list that pauses for 80 ms is lost; a watch waits 3 to 4 s at random, as news ended all watches in one instant and from then on they asked in step (33 calls in one second, none in the next three).

--- a/crates/sidecar/src/directory.rs
+++ b/crates/sidecar/src/directory.rs
@@ -82,6 +82,27 @@
         let whole = value.get("snapshot")?.as_bool()?;
         let parsed: Vec<_> =
             value.get("endpoints")?.as_array()?.iter().map(|e| self.entry(e)).collect::<Option<_>>()?;
+        let entries = self.book(parsed, whole, now);
+        let scope = if whole { ListScope::Complete } else { ListScope::Changes };
+        Some(News { index, scope, entries })
+    }
+
+    /// Books the drains that a list told before it broke off, `body` being what has come of it, and hands them on.
+    /// Danger: what was written counts as told; but only what binds is taken, as the rest comes again.
+    pub fn salvage(&self, body: &[u8], now: Instant) -> Vec<Member> {
+        let told = rows(body);
+        let known = self.ids.borrow().clone();
+        let binds =
+            |(name, _, member): &(&str, _, Member)| member.state != State::Ready && known.contains_key(*name);
+        self.book(told.iter().filter_map(|row| self.entry(row)).filter(binds).collect(), false, now)
+    }
+
+    fn book(
+        &self,
+        parsed: Vec<(&str, Option<SocketAddr>, Member)>,
+        whole: bool,
+        now: Instant,
+    ) -> Vec<Member> {
         let (mut entries, mut ids) = (self.entries.borrow_mut(), self.ids.borrow_mut());
         let mut members = Vec::with_capacity(parsed.len());
         let mut listed = HashSet::with_capacity(parsed.len());
@@ -117,8 +138,7 @@
             entries.retain(|id, _| listed.contains(id));
             ids.retain(|_, id| listed.contains(id));
         }
-        let scope = if whole { ListScope::Complete } else { ListScope::Changes };
-        Some(News { index, scope, entries: members })
+        members
     }
 
     fn entry<'a>(&self, value: &'a Value) -> Option<(&'a str, Option<SocketAddr>, Member)> {
@@ -151,3 +171,25 @@
         Some((name, address, member))
     }
 }
+
+/// The rows of a list that has come in part; of the last, the fields that came whole.
+fn rows(body: &[u8]) -> Vec<Value> {
+    let mut rows = Vec::new();
+    let Some(start) = body.iter().position(|&b| b == b'[') else { return rows };
+    let mut rest = &body[start + 1..];
+    loop {
+        rest = rest.trim_ascii_start();
+        rest = rest.strip_prefix(b",").unwrap_or(rest).trim_ascii_start();
+        let mut row = serde_json::Deserializer::from_slice(rest).into_iter::<Value>();
+        match row.next() {
+            Some(Ok(value)) => rows.push(value),
+            Some(Err(error)) if error.is_eof() => {
+                let fields = rest.iter().rposition(|&b| b == b',').map(|at| [&rest[..at], b"}"].concat());
+                rows.extend(fields.and_then(|fields| serde_json::from_slice(&fields).ok()));
+                return rows;
+            }
+            _ => return rows,
+        }
+        rest = &rest[row.byte_offset()..];
+    }
+}
--- a/crates/sidecar/src/discovery.rs
+++ b/crates/sidecar/src/discovery.rs
@@ -5,7 +5,7 @@
 use crate::exchange::read_answer;
 use crate::http::client::{self, Exchange};
 use crate::session::{Carrier, Host};
-use cometcroft::Event;
+use cometcroft::{Event, ListScope};
 use cometcroft_platform::{Platform, Stream};
 use std::cell::Cell;
 use std::io;
@@ -17,11 +17,21 @@
 
 /// A list may be long; one beyond this is not read.
 const MAX_LIST: usize = 4 << 20;
-/// How long a watch waits at discovery for news. Danger: a connection may fall silent, and until the wait ends
-/// nobody can tell that from a list that does not change.
+/// How long a watch waits at discovery for news, at most. Danger: a connection may fall silent, and until the wait
+/// ends nobody can tell that from a list that does not change.
 const HOLD: Duration = Duration::from_secs(4);
+/// The share of it that is left to chance. Danger: news ends the watches of a whole fleet in one instant, and from then
+/// on all would ask in step.
+const SPREAD: f64 = 0.25;
 /// How long an answer may take beyond that. News counts as told 2 s after the wait, so this leaves time to ask anew.
-const PATIENCE: Duration = Duration::from_secs(1);
+const PATIENCE: Duration = Duration::from_millis(800);
+/// A list that has begun goes on within this time. Danger: what is written counts as told, so a drain binds before
+/// the list is whole; this must be well within its grace.
+const STALLED: Duration = Duration::from_millis(80);
+/// News that is owed is asked for again so soon on average, then after twice as long, ...
+const SOON: Duration = Duration::from_millis(50);
+/// ... so many times in all; then the module says when.
+const TRIES: u32 = 4;
 
 /// Where discovery answers. A new configuration may move it while the sidecar runs.
 #[derive(Debug)]
@@ -44,15 +54,17 @@
     }
 }
 
-/// Watches discovery whenever the module asks for it or discovery has moved, until a call fails.
+/// Watches discovery whenever the module asks for it or discovery has moved, until a call fails. `seed` spreads calls.
 pub async fn watch<C: Carrier>(
     host: Rc<Host<C>>,
     directory: Rc<Directory>,
     source: Rc<Source>,
     mut index: Option<i64>,
+    seed: u64,
     counters: Rc<Counters>,
 ) {
     let platform = host.platform().clone();
+    let mut rng = fastrand::Rng::with_seed(seed);
     loop {
         tokio::select! {
             biased;
@@ -60,21 +72,24 @@
             // Danger: the module may be waiting out the failures of the old address.
             () = source.moved.notified() => index = None,
         }
-        let (mut stream, mut silent) = (None, false);
-        // A watch lasts while the next call follows the last answer at once. News that can't be read or a
-        // call that failed ends it; the module says when to begin anew, and the last list is kept.
+        // `owed`: so many calls in a row have lost news that may count as told.
+        let (mut stream, mut owed) = (None, 0);
+        // A watch lasts while the next call follows the last answer at once. A call that failed ends it; the module
+        // says when to begin anew, and the last list is kept.
         loop {
             count(&counters.discovery_calls);
-            let hold = HOLD.as_millis();
+            // Who is owed news hears at once whether there is any.
+            let hold = if owed > 0 { Duration::ZERO } else { HOLD.mul_f64(1.0 - SPREAD * rng.f64()) };
             let target = match index {
-                Some(index) => format!("/discovery/hosts?from={index}&hold_ms={hold}"),
+                Some(index) => format!("/discovery/hosts?from={index}&hold_ms={}", hold.as_millis()),
                 None => "/discovery/hosts".to_owned(),
             };
+            let mut exchange = Exchange::new(MAX_LIST);
             let called = tokio::select! {
                 biased;
                 called = platform.timeout(
-                    HOLD + PATIENCE,
-                    call(&platform, &mut stream, source.address.get(), &target),
+                    hold + PATIENCE,
+                    call(&platform, &mut stream, source.address.get(), &target, &mut exchange),
                 ) => Some(called),
                 () = source.moved.notified() => None,
             };
@@ -84,23 +99,45 @@
                 (stream, index) = (None, None);
                 continue;
             };
-            if called.is_err() && !silent {
-                // The connection has fallen silent; another one may not, and the news is due soon.
-                count(&counters.discovery_silent);
-                (stream, silent) = (None, true);
+            let news = match &called {
+                Ok(Ok((body, now))) => {
+                    serde_json::from_slice(body).ok().and_then(|v| directory.take(&v, *now))
+                }
+                _ => None,
+            };
+            if let Some(news) = news {
+                (index, owed) = (Some(news.index), 0);
+                host.tell(Event::Members { scope: news.scope, entries: news.entries });
                 continue;
             }
-            silent = false;
-            let Ok(Ok((body, now))) = called else {
-                count(&counters.discovery_failures);
-                break;
-            };
-            let Some(news) = serde_json::from_slice(&body).ok().and_then(|v| directory.take(&v, now)) else {
+            stream = None;
+            if called.is_err() {
+                // The connection has fallen silent; another one may not, and the news is due soon.
+                count(&counters.discovery_silent);
+                owed += 1;
+            } else if called.is_ok_and(|called| called.is_ok()) || exchange.begun() {
+                // Danger: news that broke off was told all the same: what came of it binds, and the rest is owed.
                 count(&counters.discovery_bad);
+                owed += 1;
+                let entries = directory.salvage(exchange.part(), platform.now());
+                if !entries.is_empty() {
+                    host.tell(Event::Members { scope: ListScope::Changes, entries });
+                }
+            } else {
+                count(&counters.discovery_failures);
+                owed += u32::from(owed > 0);
+            }
+            if !(1..=TRIES).contains(&owed) {
                 break;
-            };
-            index = Some(news.index);
-            host.tell(Event::Members { scope: news.scope, entries: news.entries });
+            }
+            // Danger: news goes to a whole fleet at once and discovery is busy with it, so a call that follows in
+            // the same instant is turned away.
+            let wait = SOON.mul_f64(f64::from(1u32 << (owed - 1)) * (0.5 + rng.f64()));
+            tokio::select! {
+                biased;
+                () = platform.sleep(wait) => {}
+                () = source.moved.notified() => index = None,
+            }
         }
         // What the module asked for while a watch was on has been done; it is told now and asks anew.
         host.unsubscribe();
@@ -114,6 +151,7 @@
     kept: &mut Option<P::Stream>,
     address: SocketAddr,
     target: &str,
+    exchange: &mut Exchange,
 ) -> io::Result<(bytes::Bytes, Instant)> {
     // Danger: a call on a connection that was closed after the last answer would count as one that failed. Only
     // that is mended here: to repeat a call that discovery has seen would double its load when it has most.
@@ -123,8 +161,7 @@
     };
     stream.set_nodelay()?;
     stream.write_all(&client::get(target, "discovery")).await?;
-    let mut exchange = Exchange::new(MAX_LIST);
-    let answer = read_answer(platform, &mut stream, &mut exchange).await?;
+    let answer = read_answer(platform, &mut stream, exchange, STALLED).await?;
     let now = platform.now();
     if exchange.reusable() {
         *kept = Some(stream);
--- a/crates/sidecar/src/exchange.rs
+++ b/crates/sidecar/src/exchange.rs
@@ -93,7 +93,7 @@
         lease.stream.write_all(&message()).await?;
         stage.set(Stage::Written);
         let mut exchange = Exchange::delimited(MAX_BODY);
-        let answer = read_answer(self.pool.platform(), &mut lease.stream, &mut exchange).await?;
+        let answer = read_answer(self.pool.platform(), &mut lease.stream, &mut exchange, STALLED).await?;
         if exchange.reusable() {
             self.pool.put(to, lease);
         }
@@ -104,11 +104,12 @@
 /// An answer that has begun goes on within this time; whoever answers has all of it.
 const STALLED: Duration = Duration::from_millis(500);
 
-/// Reads one whole answer; an end before that is an error.
+/// Reads one whole answer; an end before that is an error, and so is a pause of `stalled` once it has begun.
 pub(crate) async fn read_answer<P: Platform>(
     platform: &P,
     stream: &mut P::Stream,
     exchange: &mut Exchange,
+    stalled: Duration,
 ) -> io::Result<Answer> {
     let bad = |fault: Fault| io::Error::new(io::ErrorKind::InvalidData, format!("{fault:?}"));
     loop {
@@ -117,7 +118,7 @@
         let begun = exchange.begun();
         let read = stream.read_buf(exchange.buffer());
         let read = if begun {
-            platform.timeout(STALLED, read).await.map_err(|_| bad(Fault::Malformed))?
+            platform.timeout(stalled, read).await.map_err(|_| bad(Fault::Malformed))?
         } else {
             read.await
         };
--- a/crates/sidecar/src/http/client.rs
+++ b/crates/sidecar/src/http/client.rs
@@ -63,6 +63,11 @@
         self.head.is_some() || !self.buffer.is_empty()
     }
 
+    /// What has come of a body of known length that is not whole yet.
+    pub fn part(&self) -> &[u8] {
+        if matches!(self.head, Some((200, _, Body::Length(_)))) { &self.buffer } else { &[] }
+    }
+
     /// The buffer that bytes are to be read into.
     pub fn buffer(&mut self) -> &mut BytesMut {
         roomy(&mut self.buffer)
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -70,15 +70,17 @@
         Exchanger { pool: pool.clone(), directory: directory.clone(), counters: counters.clone() };
     let carrier = wrap(HttpCarrier { exchanger, fields: config.fields.into() });
     let classes = config.settings.classes.clone();
-    let host = Host::new(carrier, config.settings, config.seed, ORIGIN, counters.clone())
-        .map_err(io::Error::other)?;
+    let seed = config.seed;
+    let host =
+        Host::new(carrier, config.settings, seed, ORIGIN, counters.clone()).map_err(io::Error::other)?;
     host.tell(Event::Start);
     let known = directory.take(&config.known, platform.now());
     let index = known.as_ref().map(|known| known.index);
     if let Some(known) = known {
         host.tell(Event::Members { scope: ListScope::Remembered, entries: known.entries });
     }
-    let watch = discovery::watch(host.clone(), directory.clone(), source, index, counters.clone());
+    // Another stream of numbers than the module's, from the same seed.
+    let watch = discovery::watch(host.clone(), directory.clone(), source, index, !seed, counters.clone());
     let watch = platform.spawn(watch);
     let sweeper = platform.clone();
     let sweep = platform.spawn(async move {
--- a/crates/sidecar/tests/parts.rs
+++ b/crates/sidecar/tests/parts.rs
@@ -157,6 +157,28 @@
     assert!(open(0, 9999));
 }
 
+#[test]
+fn of_a_list_cut_at_any_byte_the_drains_that_came_are_kept() {
+    let list = r#"{"endpoints":[{"address":"127.0.0.1:1","name":"a","status":"draining","zone":"z"}, {"address":"127.0.0.1:2","name":"b","status":"up"},{"name":"c","status":"removed","zone":"z"},{"address":"127.0.0.1:9","name":"new","status":"draining"}],"index":4,"snapshot":false}"#;
+    let up = |name| json!({"name": name, "address": "127.0.0.1:7", "status": "up"});
+    let known = json!({"index": 1, "snapshot": true, "endpoints": [up("a"), up("b"), up("c")]});
+    // Where the status of `a` and of `c` has come whole: at the comma behind it.
+    let told = |name: &str| {
+        let row = list.find(&format!("\"name\":\"{name}\"")).expect("a row");
+        row + list[row..].find(",\"zone\"").expect("a field behind it") + 1
+    };
+    for cut in 0..=list.len() {
+        let directory = Directory::new(vec![], Duration::ZERO, Duration::ZERO, Tokio.unix());
+        directory.take(&known, Tokio.now()).expect("a list");
+        let members = directory.salvage(&list.as_bytes()[..cut], Tokio.now());
+        let expected = usize::from(cut >= told("a")) + usize::from(cut >= told("c"));
+        assert_eq!(members.len(), expected, "cut at {cut}");
+        assert!(members.iter().all(|m| m.state != State::Ready));
+        assert_eq!(directory.len(), 3 - usize::from(cut >= told("c")), "one that is gone leaves the table");
+        assert!(directory.open(UpstreamId(1), Tokio.now()), "what is up and the unknown are left alone");
+    }
+}
+
 #[test]
 fn the_directory_holds_only_what_is_listed() {
     let directory = Directory::new(vec![], Duration::ZERO, Duration::ZERO, Tokio.unix());
