--- a/crates/module/tests/scenarios.rs
+++ b/crates/module/tests/scenarios.rs
@@ -184,6 +184,40 @@
     assert!(stalled <= 8, "{stalled} of 100 to one that answers nothing");
 }
 
+/// Half of a tier is replaced at once: what a fleet sends to the cold half spares the warm one, and no cold one gets
+/// what the rule forbids, counted over all balancers.
+#[test]
+fn a_fleet_gives_a_cold_half_its_part_and_never_the_multiple_that_makes_it_fall() {
+    let (mut cold, mut warm, mut worst) = (0, 0, 0);
+    let mut sums = [[0; 8]; 2];
+    for rank in 0..17 {
+        let settings = Settings { instances: 17, rank, ..Settings::example() };
+        let mut d = Drive::new(settings, (0..8).map(member).collect());
+        let answer = |to: UpstreamId| (Outcome::Ok, ms(30), load(if to.0 < 4 { 9.0 } else { 0.0 }));
+        for _ in 0..120 {
+            d.call(0, answer);
+            d.pass(ms(100));
+        }
+        let started = Some(d.now);
+        let replaced = (0..8).map(|id| Member { started: started.filter(|_| id >= 4), ..member(id) });
+        d.tell(Event::Members { scope: ListScope::Complete, entries: replaced.collect() });
+        for n in 0..30 {
+            if let Some(to) = d.call(0, answer) {
+                sums[n / 15][to.0 as usize] += 1;
+            }
+            d.pass(ms(100));
+        }
+    }
+    for window in &sums {
+        warm += window[..4].iter().sum::<i32>();
+        cold += window[4..].iter().sum::<i32>();
+        worst = worst.max(window[4..].iter().copied().max().unwrap_or(0));
+    }
+    assert!(cold >= 85 && cold + warm == 510, "{cold} to the cold half, {warm} to the warm one");
+    // Eight rows that carry just this load have 32 calls in such a window; cold, 0.3 of it, times the multiple of 2.5.
+    assert!(worst <= 24, "{worst} in a window to one cold row");
+}
+
 /// Danger: a call or two more from each balancer is harmless alone; from all of them it chokes the one row whose last
 /// report was low.
 #[test]
