--- a/crates/module/src/policy.rs
+++ b/crates/module/src/policy.rs
@@ -690,7 +690,7 @@
         !(tried || strict && unsound) && self.cold_allows(now, id)
     }
 
-    /// Rule 4: a cold upstream may be sent two thirds of the multiple of a warm one's, times its warmth.
+    /// Rule 4: a cold upstream may be sent half the rule's multiple of a warm one's, times its warmth.
     /// Danger: with few others to take the work, the walk alone would push it over.
     fn cold_allows(&mut self, now: Time, id: UpstreamId) -> bool {
         let Some(up) = self.upstream(id) else { return false };
@@ -698,8 +698,8 @@
         if warmth >= 1.0 {
             return true;
         }
-        // Two thirds of what makes it fall. Danger: less leaves what was replaced to the few warm ones.
-        let multiple = (self.settings.rules.fall_multiple / 1.5).max(1.0);
+        // Half of what makes it fall: two thirds and chance do. Danger: less leaves all to the few warm ones.
+        let multiple = (self.settings.rules.fall_multiple / 2.0).max(1.0);
         let rate = self.warm_rate * self.size(up) * warmth * multiple;
         let most = (rate * self.settings.rules.fall_after.as_secs_f64() / 4.0).max(1.0);
         let Some(up) = self.upstream_mut(id) else { return false };
