--- a/crates/sidecar/src/directory.rs
+++ b/crates/sidecar/src/directory.rs
@@ -91,10 +91,14 @@
     /// Danger: what was written counts as told; but only what binds is taken, as the rest comes again.
     pub fn salvage(&self, body: &[u8], now: Instant) -> Vec<Member> {
         let told = rows(body);
-        let known = self.ids.borrow().clone();
-        let binds =
-            |(name, _, member): &(&str, _, Member)| member.state != State::Ready && known.contains_key(*name);
-        self.book(told.iter().filter_map(|row| self.entry(row)).filter(binds).collect(), false, now)
+        let parsed = {
+            let known = self.ids.borrow();
+            let binds = |(name, _, member): &(&str, _, Member)| {
+                member.state != State::Ready && known.contains_key(*name)
+            };
+            told.iter().filter_map(|row| self.entry(row)).filter(binds).collect()
+        };
+        self.book(parsed, false, now)
     }
 
     fn book(
