--- a/crates/emulator/src/emulator/faults.rs
+++ b/crates/emulator/src/emulator/faults.rs
@@ -83,7 +83,7 @@
             (SidecarRestart, _, Some(i)) => {
                 if let Some(process) = &mut self.sidecars[i].process {
                     process.term = Some(now);
-                    process.shutdown.begin();
+                    process.life.begin();
                     let longest = self.day.classes.iter().map(|c| c.deadline).max().unwrap_or(0).min(3 * SEC);
                     let life = self.sidecars[i].life;
                     self.kernel.world_at(now + longest + 700 * MS, Event::Kill(i, life));
--- a/crates/emulator/src/emulator/mod.rs
+++ b/crates/emulator/src/emulator/mod.rs
@@ -21,7 +21,7 @@
 use bytes::Bytes;
 use cometcroft_sidecar::counters::Counters;
 use cometcroft_sidecar::discovery::Source;
-use cometcroft_sidecar::shutdown::Shutdown;
+use cometcroft_sidecar::lifecycle::Life;
 use hdrhistogram::Histogram;
 use rustc_hash::FxHashMap;
 use serde::Serialize;
@@ -134,7 +134,7 @@
     pid: Pid,
     platform: Sim,
     source: Rc<Source>,
-    shutdown: Rc<Shutdown<Sim>>,
+    life: Rc<Life<Sim>>,
     counters: Rc<Counters>,
     term: Option<Nanos>,
 }
--- a/crates/emulator/src/emulator/sidecars.rs
+++ b/crates/emulator/src/emulator/sidecars.rs
@@ -4,10 +4,11 @@
 use crate::dice::Dice;
 use crate::kernel::{MS, Nanos, SEC};
 use crate::sabotage::{Defect, Saboteur};
+use cometcroft_sidecar::Parts;
 use cometcroft_sidecar::config::Config;
 use cometcroft_sidecar::counters::Counters;
 use cometcroft_sidecar::discovery::Source;
-use cometcroft_sidecar::shutdown::Shutdown;
+use cometcroft_sidecar::lifecycle::Life;
 use serde_json::json;
 use std::rc::Rc;
 
@@ -56,32 +57,38 @@
         }
         let listener = platform.listen(s.address);
         let source = Source::new(config.discovery);
-        let shutdown = Rc::new(Shutdown::new(platform.clone(), config.longest_deadline()));
+        let life = Rc::new(Life::new(platform.clone(), config.longest_deadline(), false));
         let counters = Rc::new(Counters::default());
         let known = config.known.to_string();
-        let (kernel, life) = (self.kernel.clone(), s.life);
-        let (own, src, down, count) = (platform.clone(), source.clone(), shutdown.clone(), counters.clone());
+        let (kernel, turn, own) = (self.kernel.clone(), s.life, platform.clone());
+        let parts = Parts {
+            listener,
+            ops: None,
+            source: source.clone(),
+            life: life.clone(),
+            counters: counters.clone(),
+        };
         self.kernel.spawn(pid, async move {
             match defect {
                 None => {
-                    let _ = cometcroft_sidecar::run(own, config, listener, src, down, count).await;
+                    let _ = cometcroft_sidecar::run(own, config, parts).await;
                 }
                 Some(Defect::LosesOnRestart) => {
-                    let told = down.clone();
+                    let told = parts.life.clone();
                     tokio::select! {
                         biased;
                         () = told.begun() => {}
-                        _ = cometcroft_sidecar::run(own, config, listener, src, down, count) => {}
+                        _ = cometcroft_sidecar::run(own, config, parts) => {}
                     }
                 }
                 Some(defect) => {
                     let wrap = |carrier| Saboteur::new(carrier, defect);
-                    let _ = cometcroft_sidecar::run_with(own, config, listener, src, down, count, wrap).await;
+                    let _ = cometcroft_sidecar::run_with(own, config, parts, wrap).await;
                 }
             }
-            kernel.world_at(kernel.now(), Event::Exited(i, life));
+            kernel.world_at(kernel.now(), Event::Exited(i, turn));
         });
-        s.process = Some(Process { pid, platform, source, shutdown, counters, term: None });
+        s.process = Some(Process { pid, platform, source, life, counters, term: None });
         self.judge.started(pid, &known);
         if s.of_node.is_none() {
             self.kernel.world_at(self.kernel.now() + MS, Event::Front(i));
--- a/crates/emulator/src/sabotage.rs
+++ b/crates/emulator/src/sabotage.rs
@@ -5,9 +5,8 @@
 use cometcroft::{Outcome, UpstreamId};
 use cometcroft_platform::Platform;
 use cometcroft_sidecar::backend::Lease;
-use cometcroft_sidecar::dispatch::HttpCarrier;
+use cometcroft_sidecar::dispatch::{HttpCarrier, Payload};
 use cometcroft_sidecar::http::client::Answer;
-use cometcroft_sidecar::http::server::Request;
 use cometcroft_sidecar::session::{Carrier, Ended, Later, Probed};
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
@@ -83,14 +82,14 @@
 
 impl Carrier for Saboteur {
     type Platform = Sim;
-    type Payload = Rc<Request>;
+    type Payload = Rc<Payload>;
     type Answer = Answer;
 
     fn platform(&self) -> &Sim {
         self.inner.platform()
     }
 
-    fn dispatch(&self, to: UpstreamId, payload: Rc<Request>, timeout: Duration) -> Later<Ended<Answer>> {
+    fn dispatch(&self, to: UpstreamId, payload: Rc<Payload>, timeout: Duration) -> Later<Ended<Answer>> {
         let now = self.platform().now();
         if self.newest.get().is_none_or(|(newest, _)| to > newest) {
             self.newest.set(Some((to, now)));
--- a/crates/module/src/policy.rs
+++ b/crates/module/src/policy.rs
@@ -156,6 +156,11 @@
         }
     }
 
+    /// It takes no new connection, and the ones it has are in use.
+    fn unreachable(&self, now: Time) -> bool {
+        self.down_until > now && self.out >= self.open
+    }
+
     fn forget(&mut self, now: Time, memory: f64) {
         // However many attempts there were, the last few count.
         let kept = fade(self.judged, now, memory) * (JUDGED / self.ended.max(JUDGED));
@@ -382,6 +387,13 @@
         self.upstreams.len()
     }
 
+    /// How many listed upstreams are passed over now: they drain, can't be reached, or fail or are slow.
+    pub fn avoided(&self, now: Time) -> usize {
+        let alone = self.settings.rules.drain_binds_alone;
+        let out = |up: &Upstream| up.probation || up.unreachable(now) || !up.may_be_sent_to(alone);
+        self.upstreams.values().filter(|up| up.member.state != State::Gone && out(up)).count()
+    }
+
     fn upstream(&self, id: UpstreamId) -> Option<&Upstream> {
         self.upstreams.get(&id)
     }
@@ -683,7 +695,7 @@
         }
         // Danger: an upstream may leave one class unanswered and serve the others; it is passed over for that
         // class only, the longer the more often that happened.
-        let unsound = up.down_until > now && up.out >= up.open
+        let unsound = up.unreachable(now)
             || up.silent[request.class] > self.usual_silent[request.class]
             || class.effect != Effect::Safe && up.probation;
         let tried = request.attempts.iter().any(|a| a.upstream == id && (a.out || strict));
--- a/crates/sidecar/src/config.rs
+++ b/crates/sidecar/src/config.rs
@@ -42,6 +42,10 @@
     pub name: String,
     /// Where clients connect.
     pub listen: SocketAddr,
+    /// Where operators call, if anywhere.
+    pub ops: Option<SocketAddr>,
+    /// The number of the listening socket, if it is inherited.
+    pub socket: Option<i32>,
     /// Where discovery answers.
     pub discovery: SocketAddr,
     /// For random numbers.
@@ -90,6 +94,15 @@
         let address = |name: &str, field: &str| -> Result<SocketAddr, ConfigError> {
             told(name, field)?.parse().map_err(|e| bad(field, e))
         };
+        let ops = match var("LB_OPS").or_else(|| value.get("ops").and_then(Value::as_str).map(str::to_owned))
+        {
+            Some(ops) => Some(ops.parse().map_err(|e| bad("ops", e))?),
+            None if value.get("ops").is_some_and(|ops| !ops.is_null()) => {
+                return Err(bad("ops", "is no address"));
+            }
+            None => None,
+        };
+        let socket = var("LB_SOCKET_FD").map(|number| number.trim().parse()).transpose();
         let seed = value.get("seed").and_then(Value::as_str).ok_or_else(|| bad("seed", "is missing"))?;
         let settings = value.get("settings").ok_or_else(|| bad("settings", "is missing"))?;
         let (mut module, fields) = read_settings(settings).map_err(|e| bad("settings", e))?;
@@ -104,6 +117,8 @@
         Ok(Config {
             name: told("LB_NAME", "name")?,
             listen: address("LB_LISTEN", "listen")?,
+            ops,
+            socket: socket.map_err(|e| bad("LB_SOCKET_FD", e))?,
             discovery: address("LB_DISCOVERY", "discovery")?,
             seed: u64::from_str_radix(seed, 16).unwrap_or_else(|_| hash(seed)),
             sockets: sockets.min(1 << 20) as usize,
--- a/crates/sidecar/src/counters.rs
+++ b/crates/sidecar/src/counters.rs
@@ -1,19 +1,26 @@
 //! What a sidecar takes in, sends and answers, counted; and invariants, counted in release builds.
 
+use crate::figures::Figures;
+use serde_json::json;
 use std::cell::Cell;
 
 macro_rules! counters {
     ($($(#[$doc:meta])* $name:ident,)*) => {
         /// The counters of one sidecar.
         #[derive(Debug, Default)]
-        pub struct Counters { $($(#[$doc])* pub $name: Cell<u64>,)* }
+        pub struct Counters {
+            $($(#[$doc])* pub $name: Cell<u64>,)*
+            /// What the operators' figures count.
+            pub figures: Figures,
+        }
 
         impl Counters {
             /// All counters as one line of JSON.
             pub fn json(&self) -> String {
                 let pairs = [$((stringify!($name), self.$name.get()),)*];
                 let pairs = pairs.map(|(name, count)| format!("\"{name}\":{count}"));
-                format!("{{{}}}", pairs.join(","))
+                let (operations, open) = (json!(self.figures.tallies()), self.figures.open());
+                format!("{{{},\"open_requests\":{open},\"operations\":{operations}}}", pairs.join(","))
             }
         }
     };
@@ -72,6 +79,8 @@
     backend_reused,
     /// Idle connections found closed or with unread bytes.
     backend_stale,
+    /// Calls of operators answered.
+    ops_calls,
     /// Probes sent.
     probes,
     /// Probes that brought no report.
--- a/crates/sidecar/src/discovery.rs
+++ b/crates/sidecar/src/discovery.rs
@@ -1,9 +1,10 @@
 //! Discovery: the loop that watches the list of backend servers and hands the news to directory and module.
 
-use crate::counters::{Counters, count};
+use crate::counters::count;
 use crate::directory::Directory;
 use crate::exchange::read_answer;
 use crate::http::client::{self, Exchange};
+use crate::lifecycle::Life;
 use crate::session::{Carrier, Host};
 use cometcroft::{Event, ListScope};
 use cometcroft_platform::{Platform, Stream};
@@ -59,11 +60,11 @@
     host: Rc<Host<C>>,
     directory: Rc<Directory>,
     source: Rc<Source>,
+    life: Rc<Life<C::Platform>>,
     mut index: Option<i64>,
     seed: u64,
-    counters: Rc<Counters>,
 ) {
-    let platform = host.platform().clone();
+    let (platform, counters) = (host.platform().clone(), host.counters().clone());
     let mut rng = fastrand::Rng::with_seed(seed);
     loop {
         tokio::select! {
@@ -108,6 +109,7 @@
             if let Some(news) = news {
                 (index, owed) = (Some(news.index), 0);
                 host.tell(Event::Members { scope: news.scope, entries: news.entries });
+                life.tell(|machine, _| machine.listed(!directory.is_empty(), true));
                 continue;
             }
             stream = None;
--- a/crates/sidecar/src/dispatch.rs
+++ b/crates/sidecar/src/dispatch.rs
@@ -6,13 +6,22 @@
 use crate::http::server::Request;
 use crate::probe;
 use crate::session::{Carrier, Ended, Later, Probed};
-use cometcroft::UpstreamId;
+use cometcroft::{ClassId, UpstreamId};
 use cometcroft_platform::Platform;
 use cometcroft_settings::Field;
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+/// What a dispatch carries.
+#[derive(Debug)]
+pub struct Payload {
+    /// The request as it came.
+    pub request: Request,
+    /// Its class.
+    pub class: ClassId,
+}
+
 /// Brings dispatches and probes to backend servers over HTTP.
 #[derive(Clone)]
 pub struct HttpCarrier<P: Platform> {
@@ -24,14 +33,14 @@
 
 impl<P: Platform> Carrier for HttpCarrier<P> {
     type Platform = P;
-    type Payload = Rc<Request>;
+    type Payload = Rc<Payload>;
     type Answer = Answer;
 
     fn platform(&self) -> &P {
         self.exchanger.pool.platform()
     }
 
-    fn dispatch(&self, to: UpstreamId, payload: Rc<Request>, timeout: Duration) -> Later<Ended<Answer>> {
+    fn dispatch(&self, to: UpstreamId, payload: Rc<Payload>, timeout: Duration) -> Later<Ended<Answer>> {
         let carrier = self.clone();
         Box::pin(async move { carrier.attempt(to, &payload, carrier.platform().now() + timeout).await })
     }
@@ -47,11 +56,15 @@
 }
 
 impl<P: Platform> HttpCarrier<P> {
-    async fn attempt(&self, to: UpstreamId, request: &Request, ends: Instant) -> Ended<Answer> {
+    async fn attempt(&self, to: UpstreamId, payload: &Payload, ends: Instant) -> Ended<Answer> {
         let stage = Cell::new(Stage::Unwritten);
         let platform = self.platform();
-        let message = || client::forward(request, ends.saturating_duration_since(platform.now()));
-        let exchange = self.exchanger.run(to, message, ends, &stage);
+        let message = || client::forward(&payload.request, ends.saturating_duration_since(platform.now()));
+        let written = || {
+            stage.set(Stage::Written);
+            self.exchanger.counters.figures.relay(payload.class);
+        };
+        let exchange = self.exchanger.run(to, message, ends, written);
         let answered = platform.timeout_at(ends, exchange).await;
         let unanswered = |lack| {
             if lack == Lack::Spoilt {
--- /dev/null
+++ b/crates/sidecar/src/door.rs
@@ -0,0 +1,211 @@
+//! The operators' door: a second address with a listener, places and patience of its own, so that no crowd of clients
+//! keeps an operator out. One call a connection.
+
+use crate::counters::{Counters, count};
+use crate::directory::Directory;
+use crate::figures::Report;
+use crate::frontend::{bid_farewell, refuse};
+use crate::http::server::{Connection, Request, Status, Step};
+use crate::lifecycle::{Life, Machine};
+use crate::session::{Carrier, Host};
+use cometcroft_platform::{Listener, Platform, Stream};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::sync::Notify;
+
+/// So many callers at once.
+const MOST: usize = 16;
+/// A call is whole so long after its connection, or it is let go.
+const UNREADY: Duration = Duration::from_millis(2000);
+/// A caller that takes no bytes of its answer for so long is let go.
+const STALLED: Duration = Duration::from_millis(1000);
+
+/// What an operator may call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Call {
+    /// Whether this process takes clients.
+    Readiness,
+    /// The figures.
+    Stats,
+    /// Send clients away.
+    Drain,
+    /// The end of that.
+    Undrain,
+}
+
+/// The call that a method and a path stand for; else how it is answered, and the method that would do.
+pub fn route(method: &[u8], path: &[u8]) -> Result<Call, (Status, Option<&'static str>)> {
+    let (call, due) = match path {
+        b"/ops/readiness" => (Call::Readiness, "GET"),
+        b"/ops/stats" => (Call::Stats, "GET"),
+        b"/ops/drain/start" => (Call::Drain, "PUT"),
+        b"/ops/drain/stop" => (Call::Undrain, "PUT"),
+        _ => return Err((Status::NotFound, None)),
+    };
+    if method == due.as_bytes() { Ok(call) } else { Err((Status::NotAllowed, Some(due))) }
+}
+
+/// The door, and what it tells of.
+pub struct Door<C: Carrier> {
+    host: Rc<Host<C>>,
+    directory: Rc<Directory>,
+    life: Rc<Life<C::Platform>>,
+    counters: Rc<Counters>,
+    /// Callers that owe a call, the longest waiting first.
+    waiting: RefCell<BTreeMap<u64, Rc<Notify>>>,
+    turn: Cell<u64>,
+    open: Cell<usize>,
+    left: Notify,
+}
+
+type StreamOf<C> = <<C as Carrier>::Platform as Platform>::Stream;
+
+impl<C: Carrier> Door<C> {
+    /// A door to what these tell.
+    pub fn new(
+        host: Rc<Host<C>>,
+        directory: Rc<Directory>,
+        life: Rc<Life<C::Platform>>,
+        counters: Rc<Counters>,
+    ) -> Rc<Door<C>> {
+        Rc::new(Door {
+            host,
+            directory,
+            life,
+            counters,
+            waiting: RefCell::default(),
+            turn: Cell::new(0),
+            open: Cell::new(0),
+            left: Notify::new(),
+        })
+    }
+
+    /// Answers operators for ever.
+    pub async fn run(self: Rc<Self>, listener: <C::Platform as Platform>::Listener) {
+        let platform = self.host.platform().clone();
+        loop {
+            // Danger: callers that say nothing would keep out those that ask; so the longest silent makes room.
+            while self.open.get() >= MOST {
+                if let Some((_, first)) = self.waiting.borrow_mut().pop_first() {
+                    first.notify_one();
+                }
+                let _ = platform.timeout(Duration::from_millis(10), self.left.notified()).await;
+            }
+            match listener.accept().await {
+                Ok(stream) => {
+                    let door = self.clone();
+                    self.open.set(self.open.get() + 1);
+                    platform.detach(async move {
+                        let _ = door.serve(stream).await;
+                        door.open.set(door.open.get() - 1);
+                        door.left.notify_one();
+                    });
+                }
+                Err(_) => {
+                    count(&self.counters.accept_failures);
+                    platform.sleep(Duration::from_millis(5)).await;
+                }
+            }
+        }
+    }
+
+    /// One call.
+    async fn serve(&self, mut stream: StreamOf<C>) -> io::Result<()> {
+        let platform = self.host.platform();
+        stream.set_nodelay()?;
+        let turn = self.turn.replace(self.turn.get() + 1);
+        let wake = Rc::new(Notify::new());
+        self.waiting.borrow_mut().insert(turn, wake.clone());
+        let answer = self.hear(&mut stream, &wake).await;
+        self.waiting.borrow_mut().remove(&turn);
+        if let Some(answer) = answer? {
+            count(&self.counters.ops_calls);
+            platform.timeout(STALLED, stream.write_all(&answer)).await??;
+            bid_farewell(platform, &mut stream).await?;
+        }
+        Ok(())
+    }
+
+    /// Hears a call and gives the answer to it; none to who leaves, says nothing or makes room.
+    async fn hear(&self, stream: &mut StreamOf<C>, wake: &Notify) -> io::Result<Option<bytes::BytesMut>> {
+        let platform = self.host.platform();
+        let until = platform.now() + UNREADY;
+        let mut machine = Connection::default();
+        loop {
+            match machine.step() {
+                Step::More => {
+                    let read = tokio::select! {
+                        biased;
+                        read = stream.read_buf(machine.buffer()) => read?,
+                        () = wake.notified() => 0,
+                        () = platform.sleep_until(until) => {
+                            let half = !machine.idle();
+                            return Ok(half.then(|| refuse(&mut machine, Status::RequestTimeout)));
+                        }
+                    };
+                    if read == 0 {
+                        return Ok(None);
+                    }
+                }
+                Step::Continue(bytes) => stream.write_all(bytes).await?,
+                Step::Request(request) => return Ok(Some(self.answer(&mut machine, &request))),
+                Step::Reject(status) => return Ok(Some(refuse(&mut machine, status))),
+            }
+        }
+    }
+
+    fn answer(&self, machine: &mut Connection, request: &Request) -> bytes::BytesMut {
+        let (status, extra, body) = match route(&request.method, request.path()) {
+            Ok(call) => {
+                let (status, body) = self.call(call);
+                (status, "Content-Type: application/json\r\n".to_owned(), body)
+            }
+            Err((status, allow)) => {
+                let allow = allow.map(|method| format!("Allow: {method}\r\n"));
+                (status, allow.unwrap_or_default(), String::new())
+            }
+        };
+        let mut message = machine.answer(status, &extra, body.len(), true);
+        message.extend_from_slice(body.as_bytes());
+        message
+    }
+
+    fn call(&self, call: Call) -> (Status, String) {
+        match call {
+            Call::Readiness => {
+                let ready = self.life.ask(Machine::wanted);
+                let status = if ready { Status::Ok } else { Status::Unavailable };
+                (status, format!("{{\"ready\":{ready}}}\n"))
+            }
+            Call::Stats => match serde_json::to_string(&self.report()) {
+                Ok(text) => (Status::Ok, text + "\n"),
+                Err(_) => (Status::Unavailable, String::new()),
+            },
+            Call::Drain => {
+                self.life.tell(Machine::drain);
+                (Status::Ok, "{\"draining\":true}\n".to_owned())
+            }
+            Call::Undrain => {
+                self.life.tell(|machine, _| machine.undrain());
+                (Status::Ok, "{\"draining\":false}\n".to_owned())
+            }
+        }
+    }
+
+    /// All figures, as they are now.
+    pub fn report(&self) -> Report {
+        Report {
+            operations: self.counters.figures.tallies(),
+            relayed: self.counters.figures.relayed(),
+            open_requests: self.counters.figures.open(),
+            registry_entries: self.directory.len(),
+            out_of_rotation: self.host.avoided(),
+            cfg_accepted: self.counters.reloads.get(),
+            cfg_invalid: self.counters.reload_failures.get(),
+        }
+    }
+}
--- a/crates/sidecar/src/exchange.rs
+++ b/crates/sidecar/src/exchange.rs
@@ -9,7 +9,6 @@
 use bytes::Bytes;
 use cometcroft::{Outcome, UpstreamId};
 use cometcroft_platform::Platform;
-use std::cell::Cell;
 use std::io;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -74,13 +73,13 @@
 }
 
 impl<P: Platform> Exchanger<P> {
-    /// One request and its answer. Whatever ends it early drops the connection and so closes it.
+    /// One request and its answer; `written` once its last byte is. Whatever ends it early drops the connection and so closes it.
     pub async fn run(
         &self,
         to: UpstreamId,
         message: impl FnOnce() -> Bytes,
         ends: Instant,
-        stage: &Cell<Stage>,
+        written: impl FnOnce(),
     ) -> io::Result<Answer> {
         let address = self.directory.address(to).ok_or(io::ErrorKind::AddrNotAvailable)?;
         let mut lease = self.pool.get(to, address, ends).await?;
@@ -91,7 +90,7 @@
             return Err(io::ErrorKind::ConnectionAborted.into());
         }
         lease.stream.write_all(&message()).await?;
-        stage.set(Stage::Written);
+        written();
         let mut exchange = Exchange::delimited(MAX_BODY);
         let answer = read_answer(self.pool.platform(), &mut lease.stream, &mut exchange, STALLED).await?;
         if exchange.reusable() {
--- /dev/null
+++ b/crates/sidecar/src/figures.rs
@@ -0,0 +1,115 @@
+//! What the operators' figures count: for each class by name, what came of its requests. Counted where a final answer is
+//! given and where a dispatch's last byte is written, and nowhere else.
+
+use cometcroft::ClassId;
+use serde::Serialize;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+
+/// Names of classes that are kept at most; of classes that are gone, the first to go make room.
+const NAMES: usize = 256;
+
+/// What came of the requests of one class, since the process started.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Serialize)]
+pub struct Tally {
+    /// Requests served.
+    pub fulfilled: u64,
+    /// Requests refused.
+    pub throttled: u64,
+    /// Requests failed.
+    pub faulted: u64,
+    /// Dispatches written whole to a backend server.
+    pub relayed: u64,
+}
+
+/// All figures, as the door gives them.
+#[derive(Debug, Serialize)]
+pub struct Report {
+    /// By class.
+    pub operations: BTreeMap<String, Tally>,
+    /// Dispatches written whole to a backend server, of all classes.
+    pub relayed: u64,
+    /// Requests taken and not yet ended.
+    pub open_requests: u64,
+    /// Backend servers in the list.
+    pub registry_entries: usize,
+    /// Listed backend servers that are avoided now.
+    pub out_of_rotation: usize,
+    /// Files taken over at SIGHUP.
+    pub cfg_accepted: u64,
+    /// Files turned down at SIGHUP.
+    pub cfg_invalid: u64,
+}
+
+/// The tallies of all classes that there were, and the requests that are open.
+#[derive(Debug, Default)]
+pub struct Figures {
+    tallies: RefCell<BTreeMap<String, Tally>>,
+    /// The names of the classes, by number.
+    names: RefCell<Vec<String>>,
+    open: Cell<u64>,
+    relayed: Cell<u64>,
+}
+
+impl Figures {
+    /// The classes are called so from now on. What was counted under a name stays.
+    pub fn name(&self, names: &[String]) {
+        let mut tallies = self.tallies.borrow_mut();
+        for name in names {
+            tallies.entry(name.clone()).or_default();
+        }
+        // Danger: files that bring ever new names must not fill the memory.
+        while tallies.len() > NAMES.max(names.len()) {
+            let Some(gone) = tallies.keys().find(|name| !names.contains(name)).cloned() else { break };
+            tallies.remove(&gone);
+        }
+        *self.names.borrow_mut() = names.to_vec();
+    }
+
+    /// Counts something for a class.
+    pub fn count(&self, class: ClassId, what: impl FnOnce(&mut Tally) -> &mut u64) {
+        let names = self.names.borrow();
+        let mut tallies = self.tallies.borrow_mut();
+        if let Some(tally) = names.get(class.0).and_then(|name| tallies.get_mut(name)) {
+            let counted = what(tally);
+            *counted = counted.saturating_add(1);
+        }
+    }
+
+    /// A dispatch of this class has been written whole.
+    pub fn relay(&self, class: ClassId) {
+        self.relayed.set(self.relayed.get() + 1);
+        self.count(class, |tally| &mut tally.relayed);
+    }
+
+    /// The tallies, by class.
+    pub fn tallies(&self) -> BTreeMap<String, Tally> {
+        self.tallies.borrow().clone()
+    }
+
+    /// Dispatches written whole to a backend server, of all classes that there ever were.
+    pub fn relayed(&self) -> u64 {
+        self.relayed.get()
+    }
+
+    /// Requests taken and not yet ended.
+    pub fn open(&self) -> u64 {
+        self.open.get()
+    }
+
+    /// A request has been taken; it has ended when what this gives is dropped.
+    pub fn begin(&self) -> Open<'_> {
+        self.open.set(self.open.get() + 1);
+        Open(self)
+    }
+}
+
+/// An open request.
+#[derive(Debug)]
+pub struct Open<'a>(&'a Figures);
+
+impl Drop for Open<'_> {
+    fn drop(&mut self) {
+        self.0.open.set(self.0.open.get().saturating_sub(1));
+    }
+}
--- a/crates/sidecar/src/frontend.rs
+++ b/crates/sidecar/src/frontend.rs
@@ -2,13 +2,13 @@
 //! answers.
 
 use crate::counters::{Counters, count};
-use crate::directory::Directory;
+use crate::dispatch::Payload;
 use crate::http::client::Answer;
 use crate::http::server::{Connection, Request, Status, Step};
 use crate::http::{Fault, MAX_BODY};
+use crate::lifecycle::{Life, Machine};
 use crate::session::{Carrier, Host, Opening, Verdict};
-use crate::shutdown::Shutdown;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use cometcroft::{Class, ClassId, Effect, TenantId};
 use cometcroft_platform::{Listener, Platform, Stream};
 use cometcroft_settings::Sockets;
@@ -26,13 +26,15 @@
 const UNREADY: Duration = Duration::from_millis(2000);
 /// A connection that has brought no whole request for so long is the first to make room.
 const SLOW: Duration = Duration::from_millis(250);
+/// A connection is not closed as idle so soon after it came.
+const GRACE: Duration = Duration::from_millis(300);
 /// The longest id of a request.
 const MAX_ID: usize = 128;
 
 /// A carrier that brings HTTP requests to backend servers: whatever it is, this frontend can stand before it.
-pub trait HttpBackend: Carrier<Payload = Rc<Request>, Answer = Answer> {}
+pub trait HttpBackend: Carrier<Payload = Rc<Payload>, Answer = Answer> {}
 
-impl<C: Carrier<Payload = Rc<Request>, Answer = Answer>> HttpBackend for C {}
+impl<C: Carrier<Payload = Rc<Payload>, Answer = Answer>> HttpBackend for C {}
 
 type StreamOf<C> = <<C as Carrier>::Platform as Platform>::Stream;
 type ListenerOf<C> = <<C as Carrier>::Platform as Platform>::Listener;
@@ -41,10 +43,9 @@
 pub struct Frontend<C: HttpBackend> {
     platform: C::Platform,
     host: Rc<Host<C>>,
-    directory: Rc<Directory>,
     classes: Vec<Class>,
     net: Sockets,
-    shutdown: Rc<Shutdown<C::Platform>>,
+    life: Rc<Life<C::Platform>>,
     counters: Rc<Counters>,
     most: usize,
     open: Cell<usize>,
@@ -67,20 +68,18 @@
     /// A frontend that holds at most `most` connections.
     pub fn new(
         host: Rc<Host<C>>,
-        directory: Rc<Directory>,
         classes: Vec<Class>,
         net: Sockets,
-        shutdown: Rc<Shutdown<C::Platform>>,
+        life: Rc<Life<C::Platform>>,
         counters: Rc<Counters>,
         most: usize,
     ) -> Rc<Frontend<C>> {
         Rc::new(Frontend {
             platform: host.platform().clone(),
             host,
-            directory,
             classes,
             net,
-            shutdown,
+            life,
             counters,
             most,
             open: Cell::new(0),
@@ -95,8 +94,8 @@
     pub async fn run(self: Rc<Self>, listener: ListenerOf<C>) {
         tokio::select! {
             biased;
+            () = self.life.until(Machine::accepts_until) => {}
             () = self.accept(&listener) => {}
-            () = self.shutdown.lingered() => {}
         }
         drop(listener);
         while self.open.get() > 0 {
@@ -105,6 +104,7 @@
     }
 
     async fn accept(self: &Rc<Self>, listener: &ListenerOf<C>) {
+        self.life.until(|machine| Some(machine.accepts_from())).await;
         loop {
             // Danger: past the limit of descriptors nothing works any more, so a place is made or awaited
             // before the next client is let in.
@@ -151,15 +151,14 @@
         let mut machine = Connection::default();
         let connected = self.platform.now();
         let (mut since, mut first) = (connected, true);
+        // Places that lie evenly, however many there are: multiples of the golden ratio.
+        let place = (self.turn.replace(self.turn.get() + 1) as f64 * 0.618_033_988_749_895).fract();
         while !machine.closed() {
             match machine.step() {
                 Step::More => {
                     let idle = machine.idle();
-                    if idle && self.shutdown.closing() {
-                        return Ok(());
-                    }
                     let owes = if first { Some(connected) } else { (!idle).then_some(since) };
-                    match self.read(&mut stream, &mut machine, owes).await? {
+                    match self.read(&mut stream, &mut machine, owes, place).await? {
                         Read::Bytes if idle => since = self.platform.now(),
                         Read::Bytes => {}
                         Read::Ended => return Ok(()),
@@ -185,16 +184,7 @@
                 }
             }
         }
-        // Danger: closing with unread bytes resets the connection and may take the answer along.
-        stream.shutdown().await?;
-        let mut rest = [0; 1024];
-        let patience = self.platform.now() + Duration::from_millis(200);
-        for _ in 0..MAX_BODY / 1024 {
-            if !matches!(self.platform.timeout_at(patience, stream.read(&mut rest)).await, Ok(Ok(1..))) {
-                break;
-            }
-        }
-        Ok(())
+        bid_farewell(&self.platform, &mut stream).await
     }
 
     /// Reads more of a request that the connection `owes` since then, or waits for one that may never come.
@@ -203,17 +193,21 @@
         stream: &mut StreamOf<C>,
         machine: &mut Connection,
         owes: Option<Instant>,
+        place: f64,
     ) -> io::Result<Read> {
         let idle = machine.idle();
         let turn = self.turn.replace(self.turn.get() + 1);
         let wake = Rc::new(Notify::new());
         self.waiting.borrow_mut().insert(turn, Waiting { wake: wake.clone(), owes });
         let until = owes.unwrap_or_else(|| self.platform.now()) + UNREADY;
+        // Danger: a connection that was let in just now brings a request that nobody has read.
+        let grace = owes.map(|since| since + GRACE);
+        let retired = |machine: &Machine| machine.idle_until(place).map(|at| grace.map_or(at, |g| at.max(g)));
         let read = tokio::select! {
             biased;
             read = stream.read_buf(machine.buffer()) => read.map(|n| if n > 0 { Read::Bytes } else { Read::Ended }),
             () = wake.notified() => Ok(Read::Ended),
-            () = self.shutdown.closed(), if idle => Ok(Read::Ended),
+            () = self.life.until(retired), if idle => Ok(Read::Ended),
             () = self.platform.sleep_until(until), if owes.is_some() => {
                 count(&self.counters.frontend_mute);
                 Ok(Read::Late)
@@ -232,25 +226,24 @@
         since: Instant,
     ) -> io::Result<Option<Instant>> {
         let mut early = machine.ahead().then_some(since);
-        let close = self.shutdown.closing();
+        let closes = || self.life.ask(Machine::closes);
         if request.method == "GET" && request.path() == b"/up" {
             // Without a list there is nowhere to send a request to.
-            let ready = !self.shutdown.leaving() && !self.directory.is_empty();
-            let status = if ready { Status::Ok } else { Status::Unavailable };
-            self.reply(stream, machine, status, "", b"", close).await?;
+            let status = if self.life.ask(Machine::wanted) { Status::Ok } else { Status::Unavailable };
+            self.reply(stream, machine, status, "", b"", closes()).await?;
             return Ok(Some(early.unwrap_or_else(|| self.platform.now())));
         }
         if request.method == "GET" && request.path() == b"/counters" {
             let json = self.counters.json();
             let extra = "Content-Type: application/json\r\n";
-            self.reply(stream, machine, Status::Ok, extra, json.as_bytes(), close).await?;
+            self.reply(stream, machine, Status::Ok, extra, json.as_bytes(), closes()).await?;
             return Ok(Some(early.unwrap_or_else(|| self.platform.now())));
         }
         let taken = self.opening(request, since).and_then(|(opening, due)| {
-            let id = opening.payload.headers.single(CALL_ID)?.cloned().unwrap_or_default();
+            let id = opening.payload.request.headers.single(CALL_ID)?.cloned().unwrap_or_default();
             Ok((OpenId::take(self, id)?, opening, due))
         });
-        let (_id, opening, due) = match taken {
+        let (id, opening, due) = match taken {
             Ok(taken) => taken,
             Err(fault) => {
                 count(&self.counters.bad_requests);
@@ -258,6 +251,7 @@
                 return Ok(Some(early.unwrap_or_else(|| self.platform.now())));
             }
         };
+        let (class, _open) = (opening.class, self.counters.figures.begin());
         let verdict = {
             let served = self.host.serve(opening, due);
             tokio::pin!(served);
@@ -276,7 +270,14 @@
                 }
             }
         };
-        let close = self.shutdown.closing();
+        // What it was counted for and its id are free before its answer can be seen.
+        drop(id);
+        let close = closes();
+        self.counters.figures.count(class, |tally| match &verdict {
+            Verdict::Served(_) => &mut tally.fulfilled,
+            Verdict::Denied { .. } => &mut tally.throttled,
+            Verdict::Failed | Verdict::Overdue => &mut tally.faulted,
+        });
         match verdict {
             Verdict::Served(Answer { headers, body, .. }) => {
                 let kind = headers.single("content-type").ok().flatten();
@@ -296,7 +297,7 @@
     }
 
     /// What a request asks for, and when its answer is due at the latest.
-    fn opening(&self, request: Request, since: Instant) -> Result<(Opening<Rc<Request>>, Instant), Fault> {
+    fn opening(&self, request: Request, since: Instant) -> Result<(Opening<Rc<Payload>>, Instant), Fault> {
         let id = request.headers.single(CALL_ID)?;
         if id.is_none_or(|id| id.is_empty() || id.len() > MAX_ID || !id.iter().all(u8::is_ascii_graphic)) {
             return Err(Fault::Malformed);
@@ -320,9 +321,9 @@
         let repeat = request.headers.lists("x-again", "1");
         let (left, due) = time_left(request.budget()?, self.platform.since(since));
         let now = self.platform.now();
-        let last = self.shutdown.due(now).map(|last| last.saturating_duration_since(now));
+        let last = self.life.ask(Machine::due).map(|last| last.saturating_duration_since(now));
         let (left, due) = (left.min(last.unwrap_or(left)), now + due.min(last.unwrap_or(due)));
-        let payload = Rc::new(request);
+        let payload = Rc::new(Payload { request, class });
         Ok((Opening { class, tenant: tenant.map(TenantId), left, repeat, payload }, due))
     }
 
@@ -341,6 +342,25 @@
     }
 }
 
+/// Ends a connection after its last answer. Danger: closing with unread bytes resets the connection and may take the
+/// answer along.
+pub(crate) async fn bid_farewell<P: Platform>(platform: &P, stream: &mut P::Stream) -> io::Result<()> {
+    stream.shutdown().await?;
+    let mut rest = [0; 1024];
+    let patience = platform.now() + Duration::from_millis(200);
+    for _ in 0..MAX_BODY / 1024 {
+        if !matches!(platform.timeout_at(patience, stream.read(&mut rest)).await, Ok(Ok(1..))) {
+            break;
+        }
+    }
+    Ok(())
+}
+
+/// The answer to what can't be taken; its connection ends with it.
+pub(crate) fn refuse(machine: &mut Connection, status: Status) -> BytesMut {
+    machine.answer(status, "", 0, true)
+}
+
 /// What is left of a budget for the module, and until the hard answer. The client counts from its send and
 /// what we write takes time to arrive, so a margin is kept: half for the way, half for the module's answer.
 pub fn time_left(budget: Duration, gone: Duration) -> (Duration, Duration) {
--- a/crates/sidecar/src/http/server.rs
+++ b/crates/sidecar/src/http/server.rs
@@ -69,6 +69,8 @@
 pub enum Status {
     Ok,
     BadRequest,
+    NotFound,
+    NotAllowed,
     RequestTimeout,
     TooLarge,
     HeadTooLarge,
@@ -82,6 +84,8 @@
         match self {
             Status::Ok => "200 OK",
             Status::BadRequest => "400 Bad Request",
+            Status::NotFound => "404 Not Found",
+            Status::NotAllowed => "405 Method Not Allowed",
             Status::RequestTimeout => "408 Request Timeout",
             Status::TooLarge => "413 Content Too Large",
             Status::HeadTooLarge => "431 Request Header Fields Too Large",
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -10,12 +10,14 @@
 pub mod directory;
 pub mod discovery;
 pub mod dispatch;
+pub mod door;
 pub mod exchange;
+pub mod figures;
 pub mod frontend;
 pub mod http;
+pub mod lifecycle;
 pub mod probe;
 pub mod session;
-pub mod shutdown;
 
 use crate::backend::Pool;
 use crate::config::{Config, ConfigError};
@@ -23,10 +25,11 @@
 use crate::directory::Directory;
 use crate::discovery::Source;
 use crate::dispatch::HttpCarrier;
+use crate::door::Door;
 use crate::exchange::Exchanger;
 use crate::frontend::{Frontend, HttpBackend};
+use crate::lifecycle::Life;
 use crate::session::Host;
-use crate::shutdown::Shutdown;
 use cometcroft::{Event, ListScope};
 use cometcroft_platform::{Platform, Task};
 use std::io;
@@ -38,29 +41,36 @@
 /// Descriptors kept for the listener, discovery, the runtime and standard streams.
 const RESERVE: usize = 48;
 
-/// Runs a sidecar until `shutdown` has begun and all is answered. Discovery is asked at `source`.
-pub async fn run<P: Platform>(
-    platform: P,
-    config: Config,
-    listener: P::Listener,
-    source: Rc<Source>,
-    shutdown: Rc<Shutdown<P>>,
-    counters: Rc<Counters>,
-) -> io::Result<()> {
-    run_with(platform, config, listener, source, shutdown, counters, |carrier| carrier).await
+/// What a sidecar is given by whoever starts it.
+pub struct Parts<P: Platform> {
+    /// Where clients connect.
+    pub listener: P::Listener,
+    /// Where operators call, if anywhere.
+    pub ops: Option<P::Listener>,
+    /// Where discovery is asked.
+    pub source: Rc<Source>,
+    /// Tells it when to leave.
+    pub life: Rc<Life<P>>,
+    /// What it counts.
+    pub counters: Rc<Counters>,
+}
+
+/// Runs a sidecar until it is told to leave and all is answered.
+pub async fn run<P: Platform>(platform: P, config: Config, parts: Parts<P>) -> io::Result<()> {
+    run_with(platform, config, parts, |carrier| carrier).await
 }
 
 /// The same with the carrier that `wrap` makes of the sidecar's own, as tests do that spoil what it does.
 pub async fn run_with<P: Platform, C: HttpBackend<Platform = P>>(
     platform: P,
     config: Config,
-    listener: P::Listener,
-    source: Rc<Source>,
-    shutdown: Rc<Shutdown<P>>,
-    counters: Rc<Counters>,
+    parts: Parts<P>,
     wrap: impl FnOnce(HttpCarrier<P>) -> C,
 ) -> io::Result<()> {
-    let connections = config.sockets.saturating_sub(RESERVE.min(config.sockets / 4));
+    let Parts { listener, ops, source, life, counters } = parts;
+    // Danger: where the listener is inherited a second process may run beside this one, and both count as one.
+    let sockets = if config.socket.is_some() { config.sockets / 2 } else { config.sockets };
+    let connections = sockets.saturating_sub(RESERVE.min(sockets / 4));
     let (to_clients, to_backends) = (connections * 11 / 20, connections * 9 / 20);
     let (idle, dial) = (config.net.idle, config.net.connect_timeout);
     let pool = Pool::new(platform.clone(), to_backends, idle, dial, counters.clone());
@@ -73,14 +83,17 @@
     let seed = config.seed;
     let host =
         Host::new(carrier, config.settings, seed, ORIGIN, counters.clone()).map_err(io::Error::other)?;
+    counters.figures.name(&config.net.classes);
     host.tell(Event::Start);
     let known = directory.take(&config.known, platform.now());
-    let index = known.as_ref().map(|known| known.index);
+    // Danger: beside a predecessor the list as last held is not good enough to serve by, and a watch would wait.
+    let index = known.as_ref().map(|known| known.index).filter(|_| config.socket.is_none());
     if let Some(known) = known {
         host.tell(Event::Members { scope: ListScope::Remembered, entries: known.entries });
     }
+    life.tell(|machine, _| machine.listed(!directory.is_empty(), false));
     // Another stream of numbers than the module's, from the same seed.
-    let watch = discovery::watch(host.clone(), directory.clone(), source, index, !seed, counters.clone());
+    let watch = discovery::watch(host.clone(), directory.clone(), source, life.clone(), index, !seed);
     let watch = platform.spawn(watch);
     let sweeper = platform.clone();
     let sweep = platform.spawn(async move {
@@ -89,7 +102,14 @@
             pool.sweep();
         }
     });
-    Frontend::new(host, directory, classes, config.net, shutdown, counters, to_clients).run(listener).await;
+    let door = ops.map(|ops| {
+        let door = Door::new(host.clone(), directory.clone(), life.clone(), counters.clone());
+        platform.spawn(door.run(ops))
+    });
+    Frontend::new(host, classes, config.net, life, counters, to_clients).run(listener).await;
+    if let Some(door) = door {
+        door.abort();
+    }
     watch.abort();
     sweep.abort();
     Ok(())
--- /dev/null
+++ b/crates/sidecar/src/lifecycle.rs
@@ -0,0 +1,187 @@
+//! The life of a sidecar: starting, serving, draining and back, leaving, gone. [`Machine`] is told what happens and
+//! when, and knows no socket; [`Life`] asks it with the clock in hand and wakes who waits.
+
+use cometcroft_platform::Platform;
+use std::cell::Cell;
+use std::time::{Duration, Instant};
+use tokio::sync::Notify;
+
+/// Whoever sends SIGTERM waits for the longest deadline, counted as this if it is longer, ...
+const LONGEST: Duration = Duration::from_secs(3);
+/// ... and for this before SIGKILL. Until then the front may go on sending new connections.
+const NOTICE: Duration = Duration::from_millis(700);
+/// A request that came after the notice is answered so long before SIGKILL may come.
+const SPARE: Duration = Duration::from_millis(300);
+/// Time for the last requests that are taken, before that.
+const LAST: Duration = Duration::from_millis(900);
+/// What was sent so long ago may be read only now.
+const LATE: Duration = Duration::from_millis(100);
+/// New requests are taken for so long at the least.
+const LINGER: Duration = Duration::from_millis(1000);
+/// After a drain's start, new connections come for so long; then answers end their connections.
+const ARRIVING: Duration = Duration::from_millis(300);
+/// Idle connections close between these times after a drain's start, ...
+const DRAINED: [Duration; 2] = [Duration::from_millis(400), Duration::from_millis(1600)];
+/// ... and after SIGTERM where a successor accepts already.
+const HANDED_OVER: [Duration; 2] = [Duration::from_millis(200), Duration::from_millis(1200)];
+/// A successor waits so long for a list of its own before it makes do with the one it was given, ...
+const UNTOLD: Duration = Duration::from_millis(2500);
+/// ... and accepts after this, as nobody else may be there to say that nothing can be served.
+const ALONE: Duration = Duration::from_millis(3000);
+
+/// What has happened to a sidecar, and what follows from it.
+#[derive(Debug, Clone, Copy)]
+pub struct Machine {
+    born: Instant,
+    /// The listening socket is inherited: a predecessor may still read it, and a successor may already.
+    shared: bool,
+    /// The earliest time of SIGKILL after SIGTERM.
+    kill: Duration,
+    listed: bool,
+    fresh: bool,
+    drain: Option<Instant>,
+    term: Option<Instant>,
+}
+
+impl Machine {
+    /// One that starts now, where clients wait for `longest` at most.
+    pub fn new(now: Instant, longest: Duration, shared: bool) -> Machine {
+        let kill = longest.min(LONGEST) + NOTICE;
+        Machine { born: now, shared, kill, listed: false, fresh: false, drain: None, term: None }
+    }
+
+    /// The list of backend servers is known, or known to be empty; `fresh` if discovery said so to this process.
+    pub fn listed(&mut self, any: bool, fresh: bool) {
+        self.listed = any;
+        self.fresh |= fresh;
+    }
+
+    /// Clients are to be sent away. Once it has begun, a second call changes nothing.
+    pub fn drain(&mut self, now: Instant) {
+        self.drain.get_or_insert(now);
+    }
+
+    /// The end of that.
+    pub fn undrain(&mut self) {
+        self.drain = None;
+    }
+
+    /// SIGTERM has come.
+    pub fn leave(&mut self, now: Instant) {
+        self.term.get_or_insert(now);
+    }
+
+    /// SIGTERM has come.
+    pub fn leaving(&self) -> bool {
+        self.term.is_some()
+    }
+
+    /// Clients are being sent away.
+    pub fn draining(&self) -> bool {
+        self.drain.is_some()
+    }
+
+    /// Clients are wanted: what `/up` and readiness say.
+    pub fn wanted(&self, now: Instant) -> bool {
+        let told = !self.shared || self.fresh || now >= self.born + UNTOLD;
+        self.listed && told && self.drain.is_none() && self.term.is_none()
+    }
+
+    /// When the listening socket is read from. Danger: who accepts before it can serve takes clients from the
+    /// predecessor that could.
+    pub fn accepts_from(&self) -> Instant {
+        match (self.shared, self.listed, self.fresh) {
+            (false, ..) | (true, true, true) => self.born,
+            (true, true, false) => self.born + UNTOLD,
+            (true, false, _) => self.born + ALONE,
+        }
+    }
+
+    /// When the listening socket is let go. Danger: with nobody else on it clients would be left with none; but where
+    /// a successor reads it too, what is taken from it now is taken for nothing.
+    pub fn accepts_until(&self) -> Option<Instant> {
+        self.term.map(|at| if self.shared { at } else { at + self.linger() })
+    }
+
+    /// Whether an answer ends its connection.
+    pub fn closes(&self, now: Instant) -> bool {
+        self.accepts_until().is_some_and(|at| now >= at) || self.drain.is_some_and(|at| now >= at + ARRIVING)
+    }
+
+    /// When a connection with no open request closes; `place` between 0 and 1 spreads them. Danger: all at once, every
+    /// client would connect anew in the same instant.
+    pub fn idle_until(&self, place: f64) -> Option<Instant> {
+        let within = |at: Instant, [from, to]: [Duration; 2]| at + from + (to - from).mul_f64(place);
+        let drained = self.drain.map(|at| within(at, DRAINED));
+        let left = self.term.map(|at| if self.shared { within(at, HANDED_OVER) } else { at + self.linger() });
+        drained.into_iter().chain(left).min()
+    }
+
+    /// When a request that comes now is to be answered at the latest. Danger: SIGKILL loses what came after the
+    /// notice and is unanswered, whatever time its client has left.
+    pub fn due(&self, now: Instant) -> Option<Instant> {
+        let begun = self.term?;
+        // A little early, as its clock and ours may be read at different moments.
+        (now.saturating_duration_since(begun) + LATE >= NOTICE).then(|| begun + (self.kill - SPARE))
+    }
+
+    /// So long after SIGTERM requests are taken where there is no successor: clients keep the connections that they
+    /// have, and in their zone there may be nobody else for now.
+    fn linger(&self) -> Duration {
+        self.kill.saturating_sub(SPARE + LAST).max(LINGER)
+    }
+}
+
+/// The driver of a [`Machine`].
+pub struct Life<P: Platform> {
+    platform: P,
+    machine: Cell<Machine>,
+    changed: Notify,
+}
+
+impl<P: Platform> Life<P> {
+    /// A sidecar that starts now. `shared`: its listening socket is inherited.
+    pub fn new(platform: P, longest: Duration, shared: bool) -> Life<P> {
+        let machine = Cell::new(Machine::new(platform.now(), longest, shared));
+        Life { platform, machine, changed: Notify::new() }
+    }
+
+    /// Tells the machine something, with the time.
+    pub fn tell(&self, what: impl FnOnce(&mut Machine, Instant)) {
+        let mut machine = self.machine.get();
+        what(&mut machine, self.platform.now());
+        self.machine.set(machine);
+        self.changed.notify_waiters();
+    }
+
+    /// SIGTERM has come.
+    pub fn begin(&self) {
+        self.tell(Machine::leave);
+    }
+
+    /// What the machine says now.
+    pub fn ask<T>(&self, what: impl FnOnce(&Machine, Instant) -> T) -> T {
+        what(&self.machine.get(), self.platform.now())
+    }
+
+    /// Waits for the time that the machine gives, however often it changes.
+    pub async fn until(&self, reached: impl Fn(&Machine) -> Option<Instant>) {
+        loop {
+            let changed = self.changed.notified();
+            match reached(&self.machine.get()) {
+                Some(at) if at <= self.platform.now() => return,
+                Some(at) => tokio::select! {
+                    biased;
+                    () = changed => {}
+                    () = self.platform.sleep_until(at) => {}
+                },
+                None => changed.await,
+            }
+        }
+    }
+
+    /// Waits for SIGTERM.
+    pub async fn begun(&self) {
+        self.until(|machine| machine.term).await;
+    }
+}
--- a/crates/sidecar/src/main.rs
+++ b/crates/sidecar/src/main.rs
@@ -2,10 +2,11 @@
 #![forbid(unsafe_code)]
 
 use cometcroft_platform::{Platform, Tokio};
+use cometcroft_sidecar::Parts;
 use cometcroft_sidecar::config::Config;
 use cometcroft_sidecar::counters::Counters;
 use cometcroft_sidecar::discovery::Source;
-use cometcroft_sidecar::shutdown::Shutdown;
+use cometcroft_sidecar::lifecycle::Life;
 use std::process::ExitCode;
 use std::rc::Rc;
 use tokio::net::TcpListener;
@@ -20,11 +21,19 @@
             return ExitCode::from(2);
         }
     };
+    // Before anything else opens descriptors.
+    let inherited = match config.socket.map(cometcroft_inherit::listener).transpose() {
+        Ok(inherited) => inherited,
+        Err(refused) => {
+            eprintln!("cometcroft: configuration: LB_SOCKET_FD: {refused}");
+            return ExitCode::from(2);
+        }
+    };
     let counters = Rc::new(Counters::default());
     let served = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
-        .and_then(|runtime| LocalSet::new().block_on(&runtime, serve(config, counters.clone())));
+        .and_then(|runtime| LocalSet::new().block_on(&runtime, serve(config, inherited, counters.clone())));
     eprintln!("cometcroft: counters {}", counters.json());
     match served {
         Ok(()) => ExitCode::SUCCESS,
@@ -39,7 +48,11 @@
     std::env::var(name).ok()
 }
 
-async fn serve(config: Config, counters: Rc<Counters>) -> std::io::Result<()> {
+async fn serve(
+    config: Config,
+    inherited: Option<std::net::TcpListener>,
+    counters: Rc<Counters>,
+) -> std::io::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let mut hangup = signal(SignalKind::hangup())?;
@@ -52,8 +65,8 @@
             }
         }
     });
-    let shutdown = Rc::new(Shutdown::new(Tokio, config.longest_deadline()));
-    let begin = shutdown.clone();
+    let life = Rc::new(Life::new(Tokio, config.longest_deadline(), inherited.is_some()));
+    let begin = life.clone();
     Tokio.detach(async move {
         tokio::select! {
             _ = terminate.recv() => {}
@@ -61,6 +74,13 @@
         }
         begin.begin();
     });
-    let listener = TcpListener::bind(config.listen).await?;
-    cometcroft_sidecar::run(Tokio, config, listener, source, shutdown, counters).await
+    let listener = match inherited {
+        Some(inherited) => TcpListener::from_std(inherited)?,
+        None => TcpListener::bind(config.listen).await?,
+    };
+    let ops = match config.ops {
+        Some(ops) => Some(TcpListener::bind(ops).await?),
+        None => None,
+    };
+    cometcroft_sidecar::run(Tokio, config, Parts { listener, ops, source, life, counters }).await
 }
--- a/crates/sidecar/src/session/host.rs
+++ b/crates/sidecar/src/session/host.rs
@@ -48,6 +48,7 @@
     waiting: RefCell<HashMap<SessionId, oneshot::Sender<Verdict<C::Answer>>>>,
     running: RefCell<HashMap<SessionId, <C::Platform as Platform>::Task>>,
     subscribe: Notify,
+    counters: Rc<Counters>,
     origin: Instant,
     origin_at: Time,
 }
@@ -64,10 +65,11 @@
         let began = carrier.platform().now();
         Ok(Rc::new(Host {
             carrier,
-            table: RefCell::new(Table::new(settings, seed, counters)?),
+            table: RefCell::new(Table::new(settings, seed, counters.clone())?),
             waiting: RefCell::default(),
             running: RefCell::default(),
             subscribe: Notify::new(),
+            counters,
             origin: began,
             origin_at: origin,
         }))
@@ -94,6 +96,16 @@
         asked.enable();
     }
 
+    /// What is counted.
+    pub fn counters(&self) -> &Rc<Counters> {
+        &self.counters
+    }
+
+    /// How many listed backend servers the module avoids now.
+    pub fn avoided(&self) -> usize {
+        self.table.borrow().avoided(self.now())
+    }
+
     /// How many sessions are owed an answer.
     pub fn owed(&self) -> usize {
         self.table.borrow().owed()
--- a/crates/sidecar/src/session/table.rs
+++ b/crates/sidecar/src/session/table.rs
@@ -125,6 +125,11 @@
         })
     }
 
+    /// How many listed backend servers the module avoids now.
+    pub fn avoided(&self, now: Time) -> usize {
+        self.balancer.avoided(now)
+    }
+
     /// How many sessions are owed an answer.
     pub fn owed(&self) -> usize {
         self.sessions.values().filter(|s| !s.answered).count()
--- a/crates/sidecar/tests/loopback.rs
+++ b/crates/sidecar/tests/loopback.rs
@@ -4,10 +4,11 @@
 mod common;
 
 use cometcroft_platform::{Platform, Tokio};
+use cometcroft_sidecar::Parts;
 use cometcroft_sidecar::config::Config;
 use cometcroft_sidecar::counters::Counters;
 use cometcroft_sidecar::discovery::Source;
-use cometcroft_sidecar::shutdown::Shutdown;
+use cometcroft_sidecar::lifecycle::Life;
 use std::future::Future;
 use std::rc::Rc;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -51,7 +52,8 @@
     discovery: TcpListener,
     source: Rc<Source>,
     counters: Rc<Counters>,
-    shutdown: Rc<Shutdown<Tokio>>,
+    life: Rc<Life<Tokio>>,
+    ops: String,
     ended: JoinHandle<std::io::Result<()>>,
 }
 
@@ -60,8 +62,8 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
     LocalSet::new().block_on(&runtime, async {
         let any = || TcpListener::bind("127.0.0.1:0");
-        let (backend, discovery, listener) =
-            (any().await.expect("a port"), any().await.expect("a port"), any().await.expect("a port"));
+        let (backend, discovery) = (any().await.expect("a port"), any().await.expect("a port"));
+        let (listener, door) = (any().await.expect("a port"), any().await.expect("a port"));
         let at = |listener: &TcpListener| listener.local_addr().expect("an address").to_string();
         let known = format!(
             r#"{{"index":1,"snapshot":true,"endpoints":[{{"name":"s","address":"{}","zone":"a","status":"up"}}]}}"#,
@@ -69,11 +71,19 @@
         );
         let text = common::config(&at(&listener), &at(&discovery), &known);
         let config = Config::parse(&text, |_| None).expect("a configuration");
-        let (counters, shutdown) = (Rc::new(Counters::default()), Rc::new(Shutdown::new(Tokio, config.longest_deadline())));
-        let (address, source) = (at(&listener), Source::new(config.discovery));
-        let run = cometcroft_sidecar::run(Tokio, config, listener, source.clone(), shutdown.clone(), counters.clone());
-        let ended = spawn_local(run);
-        told(Sidecar { address, backend, discovery, source, counters, shutdown, ended }).await;
+        let counters = Rc::new(Counters::default());
+        let life = Rc::new(Life::new(Tokio, config.longest_deadline(), false));
+        let (address, ops, source) = (at(&listener), at(&door), Source::new(config.discovery));
+        let parts = Parts {
+            listener,
+            ops: Some(door),
+            source: source.clone(),
+            life: life.clone(),
+            counters: counters.clone(),
+        };
+        let ended = spawn_local(cometcroft_sidecar::run(Tokio, config, parts));
+        let told = told(Sidecar { address, ops, backend, discovery, source, counters, life, ended });
+        Tokio.timeout(std::time::Duration::from_secs(30), told).await.expect("the story ends");
     });
 }
 
@@ -471,7 +481,7 @@
         busy.say(BOOK).await;
         let mut server = next(&sidecar.backend).await;
         server.hear().await;
-        sidecar.shutdown.begin();
+        sidecar.life.begin();
         idle.say("GET /up HTTP/1.1\r\n\r\n").await;
         let answer = idle.hear().await;
         assert!(
@@ -492,3 +502,114 @@
         sidecar.ended.await.expect("no panic").expect("a clean end");
     });
 }
+
+/// A call of an operator: the whole answer.
+async fn operate(sidecar: &Sidecar, line: &str) -> String {
+    let mut peer = Peer(TcpStream::connect(&sidecar.ops).await.expect("it listens"));
+    peer.say(&format!("{line} HTTP/1.1\r\nHost: ops\r\n\r\n")).await;
+    let answer = peer.hear().await;
+    assert_eq!(peer.hear().await, "", "one call a connection");
+    answer
+}
+
+async fn stats(sidecar: &Sidecar) -> serde_json::Value {
+    let answer = operate(sidecar, "GET /ops/stats").await;
+    serde_json::from_str(answer.split("\r\n\r\n").nth(1).expect("a body")).expect("figures")
+}
+
+#[test]
+fn the_door_answers_operators_whoever_stands_in_it_and_its_figures_are_true() {
+    story(|sidecar| async move {
+        let mut crowd = Vec::new();
+        for n in 0..40 {
+            let mut peer = Peer(TcpStream::connect(&sidecar.ops).await.expect("it listens"));
+            peer.say(["", "GET /ops/sta"][n % 2]).await;
+            crowd.push(peer);
+        }
+        for (line, status) in [
+            ("GET /ops/readiness", 200),
+            ("PUT /ops/readiness", 405),
+            ("GET /ops/drain/start", 405),
+            ("GET /ops/other", 404),
+            ("GET /counters", 404),
+            ("nonsense", 400),
+        ] {
+            let answer = operate(&sidecar, line).await;
+            assert!(answer.starts_with(&format!("HTTP/1.1 {status} ")), "{line}: {answer}");
+            assert_eq!(answer.contains("Allow: "), status == 405);
+        }
+        let tally = |s: u64, r: u64, f: u64, a: u64| serde_json::json!({"fulfilled": s, "throttled": r, "faulted": f, "relayed": a});
+        let mut client = Peer::to(&sidecar).await;
+        // Served at the second attempt, while it is open; then denied, failed, and left by its client.
+        client.say(PLAN).await;
+        let mut server = next(&sidecar.backend).await;
+        server.hear().await;
+        let figures = stats(&sidecar).await;
+        assert_eq!((&figures["open_requests"], &figures["registry_entries"]), (&1.into(), &1.into()));
+        assert_eq!(figures["operations"]["plan"], tally(0, 0, 0, 1));
+        server.say("HTTP/1.1 500 No\r\nConnection: close\r\nContent-Length: 0\r\n\r\n").await;
+        rest().await;
+        let mut server = next(&sidecar.backend).await;
+        server.hear().await;
+        server.say("HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n").await;
+        client.hear().await;
+        let figures = stats(&sidecar).await;
+        assert_eq!(
+            (&figures["operations"]["plan"], &figures["open_requests"]),
+            (&tally(1, 0, 0, 2), &0.into())
+        );
+        client.say(BOOK).await;
+        let mut server = next(&sidecar.backend).await;
+        server.hear().await;
+        drop(server);
+        assert!(client.hear().await.starts_with("HTTP/1.1 502"));
+        client.say(&BOOK.replace("30000m", "2m")).await;
+        assert!(client.hear().await.starts_with("HTTP/1.1 503"));
+        client.say(PLAN).await;
+        next(&sidecar.backend).await.hear().await;
+        drop(client);
+        rest().await;
+        let figures = stats(&sidecar).await;
+        assert_eq!(figures["operations"]["book"], tally(0, 1, 1, 1));
+        assert_eq!(figures["operations"]["plan"], tally(1, 0, 0, 3));
+        assert_eq!(figures["operations"]["pay"], tally(0, 0, 0, 0));
+        assert_eq!((&figures["open_requests"], &figures["relayed"]), (&0.into(), &4.into()));
+        let mut first = crowd.swap_remove(0);
+        assert_eq!(first.hear().await, "", "the longest silent has made room");
+    });
+}
+
+#[test]
+fn a_drain_sends_clients_away_and_is_called_back() {
+    story(|sidecar| async move {
+        let (mut idle, mut busy) = (Peer::to(&sidecar).await, Peer::to(&sidecar).await);
+        idle.say("GET /up HTTP/1.1\r\n\r\n").await;
+        assert!(idle.hear().await.starts_with("HTTP/1.1 200"));
+        busy.say(BOOK).await;
+        let mut server = next(&sidecar.backend).await;
+        server.hear().await;
+        for _ in 0..2 {
+            assert!(operate(&sidecar, "PUT /ops/drain/start").await.starts_with("HTTP/1.1 200"));
+        }
+        let began = Tokio.now();
+        assert!(operate(&sidecar, "GET /ops/readiness").await.starts_with("HTTP/1.1 503"));
+        let mut late = Peer::to(&sidecar).await;
+        late.say("GET /up HTTP/1.1\r\n\r\n").await;
+        assert!(late.hear().await.starts_with("HTTP/1.1 503"), "it still takes who comes, and says no");
+        assert_eq!((idle.hear().await, late.hear().await), (String::new(), String::new()));
+        let closed = Tokio.since(began);
+        assert!(closed > std::time::Duration::from_millis(300) && closed < std::time::Duration::from_secs(2));
+        server.say("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await;
+        let answer = busy.hear().await;
+        assert!(answer.starts_with("HTTP/1.1 200") && answer.contains("Connection: close"), "{answer}");
+        for _ in 0..2 {
+            assert!(operate(&sidecar, "PUT /ops/drain/stop").await.starts_with("HTTP/1.1 200"));
+        }
+        let mut back = Peer::to(&sidecar).await;
+        back.say("GET /up HTTP/1.1\r\n\r\n").await;
+        assert!(back.hear().await.starts_with("HTTP/1.1 200"));
+        Tokio.sleep(std::time::Duration::from_millis(1700)).await;
+        back.say("GET /up HTTP/1.1\r\n\r\n").await;
+        assert!(back.hear().await.starts_with("HTTP/1.1 200"), "it is kept, as before the drain");
+    });
+}
--- a/crates/sidecar/tests/parts.rs
+++ b/crates/sidecar/tests/parts.rs
@@ -12,8 +12,9 @@
 use cometcroft_sidecar::exchange::{Lack, Stage, outcome, without_answer};
 use cometcroft_sidecar::frontend::time_left;
 use cometcroft_sidecar::http::client::Exchange;
+use cometcroft_sidecar::lifecycle::Machine;
 use cometcroft_sidecar::probe::report;
-use cometcroft_sidecar::shutdown::Shutdown;
+use proptest::prelude::*;
 use serde_json::json;
 use std::time::Duration;
 
@@ -85,19 +86,82 @@
 
 #[test]
 fn on_the_way_out_late_requests_are_due_before_the_kill() {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build();
-    runtime.expect("a runtime").block_on(async {
-        let shutdown = Shutdown::new(Tokio, Duration::from_secs(8));
-        let begun = Tokio.now();
-        assert_eq!(shutdown.due(begun), None);
-        shutdown.begin();
-        assert!(shutdown.leaving() && !shutdown.closing());
-        assert_eq!(shutdown.due(begun + Duration::from_millis(300)), None);
-        let last = begun + Duration::from_millis(3400);
-        assert_eq!(shutdown.due(begun + Duration::from_millis(700)), Some(last));
-        shutdown.lingered().await;
-        assert!(shutdown.closing() && Tokio.since(begun) > Duration::from_millis(700) && Tokio.now() < last);
-    });
+    let (begun, ms) = (Tokio.now(), Duration::from_millis);
+    for shared in [false, true] {
+        let mut machine = Machine::new(begun, ms(8000), shared);
+        assert_eq!(machine.due(begun), None);
+        machine.leave(begun);
+        machine.leave(begun + ms(99));
+        assert!(machine.leaving() && machine.closes(begun) == shared);
+        assert_eq!(machine.due(begun + ms(300)), None);
+        let last = begun + ms(3400);
+        assert_eq!(machine.due(begun + ms(700)), Some(last));
+        let until = machine.accepts_until().expect("it leaves");
+        assert!(if shared { until == begun } else { until > begun + ms(700) && until < last });
+        assert!(machine.closes(until) && machine.idle_until(0.99).is_some_and(|at| at < last));
+    }
+}
+
+/// What can happen to a sidecar, and what was last said of each.
+#[derive(Debug, Clone, Copy)]
+enum Happens {
+    Listed(bool, bool),
+    Drain,
+    Undrain,
+    Leave,
+}
+
+proptest! {
+    #![proptest_config(common::fixed(300))]
+    /// Whatever the order, what the machine says follows from what was said last, and the way out is never undone.
+    #[test]
+    fn the_life_of_a_sidecar_follows_from_what_happened(
+        shared in any::<bool>(),
+        steps in proptest::collection::vec((prop_oneof![
+            (any::<bool>(), any::<bool>()).prop_map(|(any, fresh)| Happens::Listed(any, fresh)),
+            Just(Happens::Drain), Just(Happens::Undrain), Just(Happens::Leave),
+        ], 0..900u64), 1..12),
+        place in 0.0..1.0f64,
+    ) {
+        let (born, ms) = (Tokio.now(), Duration::from_millis);
+        let mut machine = Machine::new(born, ms(3000), shared);
+        let (mut now, mut listed, mut fresh, mut drain, mut term) = (born, false, false, None, None);
+        for (step, later) in steps {
+            now += ms(later);
+            match step {
+                Happens::Listed(any, told) => {
+                    machine.listed(any, told);
+                    (listed, fresh) = (any, fresh || told);
+                }
+                Happens::Drain => {
+                    machine.drain(now);
+                    drain.get_or_insert(now);
+                }
+                Happens::Undrain => {
+                    machine.undrain();
+                    drain = None;
+                }
+                Happens::Leave => {
+                    machine.leave(now);
+                    term.get_or_insert(now);
+                }
+            }
+            let told = !shared || fresh || now >= born + ms(2500);
+            prop_assert_eq!(machine.wanted(now), listed && told && drain.is_none() && term.is_none());
+            prop_assert_eq!(machine.idle_until(place).is_some(), drain.is_some() || term.is_some());
+            prop_assert_eq!(machine.accepts_until().is_some(), term.is_some());
+            prop_assert_eq!(machine.due(now).is_some(), term.is_some_and(|at: std::time::Instant| now >= at + ms(600)));
+            // Two seconds into a drain no connection is held idle, and every answer ends its own.
+            if let Some(at) = drain {
+                prop_assert!(machine.idle_until(place).is_some_and(|closed| closed < at + ms(2000)));
+                prop_assert!(machine.closes(at + ms(1000)));
+            }
+            if let (None, None) = (drain, term) {
+                prop_assert!(!machine.closes(now + ms(9999)), "what was sent away has been called back");
+            }
+            prop_assert!(machine.accepts_from() <= born + ms(3000));
+        }
+    }
 }
 
 #[test]
