Put new settings in force at SIGHUP in one step, and keep sessions under their old class

Tests: every prefix of a file, every pair of effects, a proptest on numbers, a reload in the middle of a retry.

--- a/crates/emulator/src/emulator/mod.rs
+++ b/crates/emulator/src/emulator/mod.rs
@@ -20,8 +20,8 @@
 use crate::wire::{Message, Reader};
 use bytes::Bytes;
 use cometcroft_sidecar::counters::Counters;
-use cometcroft_sidecar::discovery::Source;
 use cometcroft_sidecar::lifecycle::Life;
+use cometcroft_sidecar::retune::Control;
 use hdrhistogram::Histogram;
 use rustc_hash::FxHashMap;
 use serde::Serialize;
@@ -133,7 +133,7 @@
 struct Process {
     pid: Pid,
     platform: Sim,
-    source: Rc<Source>,
+    control: Rc<Control>,
     life: Rc<Life<Sim>>,
     counters: Rc<Counters>,
     term: Option<Nanos>,
--- a/crates/emulator/src/emulator/sidecars.rs
+++ b/crates/emulator/src/emulator/sidecars.rs
@@ -7,8 +7,8 @@
 use cometcroft_sidecar::Parts;
 use cometcroft_sidecar::config::Config;
 use cometcroft_sidecar::counters::Counters;
-use cometcroft_sidecar::discovery::Source;
 use cometcroft_sidecar::lifecycle::Life;
+use cometcroft_sidecar::retune::Control;
 use serde_json::json;
 use std::rc::Rc;
 
@@ -56,7 +56,7 @@
             _ => {}
         }
         let listener = platform.listen(s.address);
-        let source = Source::new(config.discovery);
+        let control = Control::new(&config);
         let life = Rc::new(Life::new(platform.clone(), config.longest_deadline(), false));
         let counters = Rc::new(Counters::default());
         let known = config.known.to_string();
@@ -64,7 +64,7 @@
         let parts = Parts {
             listener,
             ops: None,
-            source: source.clone(),
+            control: control.clone(),
             life: life.clone(),
             counters: counters.clone(),
         };
@@ -88,7 +88,7 @@
             }
             kernel.world_at(kernel.now(), Event::Exited(i, turn));
         });
-        s.process = Some(Process { pid, platform, source, life, counters, term: None });
+        s.process = Some(Process { pid, platform, control, life, counters, term: None });
         self.judge.started(pid, &known);
         if s.of_node.is_none() {
             self.kernel.world_at(self.kernel.now() + MS, Event::Front(i));
@@ -118,7 +118,7 @@
     pub(super) fn hup(&mut self, text: &str, i: usize) {
         if let Some(process) = &self.sidecars[i].process {
             let read = Config::parse(text, |_| None);
-            let _ = cometcroft_sidecar::reload(read, &process.source, &process.counters);
+            let _ = process.control.reload(read, &process.counters);
         }
     }
 }
--- a/crates/module/src/interface.rs
+++ b/crates/module/src/interface.rs
@@ -454,6 +454,13 @@
         /// The upstream's report, if one came along.
         report: Option<Report>,
     },
+    /// New settings are in force. What was learned of upstreams stays.
+    Retune {
+        /// All of them.
+        settings: Box<Settings>,
+        /// For each class, the earlier one whose figures it continues.
+        from: Vec<Option<ClassId>>,
+    },
     /// The client has left; nothing is owed.
     Withdrawn(RequestId),
     /// A timer is due.
--- a/crates/module/src/policy.rs
+++ b/crates/module/src/policy.rs
@@ -42,9 +42,7 @@
 /// outcome, second copies and moves. Danger: counted apart they would add up to more than is permitted.
 #[derive(Debug)]
 struct RetryWindow {
-    free: f64,
-    ratio: f64,
-    look_back: Duration,
+    budget: RetryBudget,
     /// The budget is a rule here: also what provably never ran counts.
     binding: bool,
     taken: VecDeque<Time>,
@@ -56,10 +54,10 @@
 impl RetryWindow {
     fn pass(&mut self, now: Time) {
         // A request that reaches the edge counts no more; a further attempt still does at the edge itself.
-        while self.taken.front().is_some_and(|&at| now.saturating_sub(at) >= self.look_back) {
+        while self.taken.front().is_some_and(|&at| now.saturating_sub(at) >= self.budget.look_back) {
             self.taken.pop_front();
         }
-        while self.extra.front().is_some_and(|e| now.saturating_sub(e.0) > self.look_back) {
+        while self.extra.front().is_some_and(|e| now.saturating_sub(e.0) > self.budget.look_back) {
             self.extra.pop_front();
         }
     }
@@ -67,11 +65,15 @@
     /// Whether one further attempt fits into this share of the budget.
     fn allows(&mut self, now: Time, share: f64) -> bool {
         self.pass(now);
-        let most = self.free + self.ratio * self.taken.len() as f64;
+        let most = self.budget.free + self.budget.ratio * self.taken.len() as f64;
         self.extra.len() as f64 + self.moving + 1.0 <= most * share + 1e-9
     }
 }
 
+fn budget(settings: &Settings, memory: Duration) -> RetryBudget {
+    settings.rules.retry_budget.unwrap_or(RetryBudget { free: 2.0, ratio: RETRY_SHARE, look_back: memory })
+}
+
 /// Events a second, forgotten exponentially.
 #[derive(Debug, Clone, Copy)]
 struct Rate {
@@ -219,6 +221,13 @@
     hint: f64,
 }
 
+impl Track {
+    fn new(class: &Class) -> Track {
+        let aim = 0.3 * class.aim.as_secs_f64();
+        Track { mean: aim, deviation: aim, floor: aim, answers: 0.0, hint: 0.0 }
+    }
+}
+
 /// The decisions of one balancer.
 #[derive(Debug)]
 pub struct Balancer {
@@ -267,17 +276,13 @@
         let mean_aim =
             settings.classes.iter().map(|c| c.aim.as_secs_f64()).sum::<f64>() / settings.classes.len() as f64;
         let rate = Rate::new(secs(2.0 * mean_aim), Time::ZERO);
-        let track = |c: &Class| {
-            let aim = c.aim.as_secs_f64();
-            Track { mean: 0.3 * aim, deviation: 0.3 * aim, floor: 0.3 * aim, answers: 0.0, hint: 0.0 }
-        };
         Ok(Balancer {
             rng: fastrand::Rng::with_seed(seed),
             upstreams: BTreeMap::new(),
             rows: Vec::new(),
             cursor: 0,
             requests: BTreeMap::new(),
-            tracks: settings.classes.iter().map(track).collect(),
+            tracks: settings.classes.iter().map(Track::new).collect(),
             tenants: vec![Rate::new(memory, Time::ZERO); settings.tenants.len()],
             usual_silent: vec![0.9; settings.classes.len()],
             calls: rate,
@@ -293,9 +298,7 @@
             dead_after: f64::INFINITY,
             dead_share: 0.0,
             retries: RetryWindow {
-                free: settings.rules.retry_budget.map_or(2.0, |b| b.free),
-                ratio: settings.rules.retry_budget.map_or(RETRY_SHARE, |b| b.ratio),
-                look_back: settings.rules.retry_budget.map_or(memory, |b| b.look_back),
+                budget: budget(&settings, memory),
                 binding: settings.rules.retry_budget.is_some(),
                 taken: VecDeque::new(),
                 extra: VecDeque::new(),
@@ -322,6 +325,7 @@
         match event {
             Event::Start => self.start(now),
             Event::Members { scope, entries } => self.members(now, scope, &entries),
+            Event::Retune { settings, from } => self.retune(*settings, &from),
             Event::DiscoveryRefused => {
                 // Danger: all balancers ask again at once and fail again, so the wait grows and is spread.
                 // Danger: on sockets news counts as told after 6 s where a call may be made within 10.
@@ -387,6 +391,23 @@
         self.upstreams.len()
     }
 
+    /// New settings. Danger: one that forgot what it learned would herd and refuse as if just begun.
+    fn retune(&mut self, settings: Settings, from: &[Option<ClassId>]) {
+        let old = |class: usize| from.get(class).copied().flatten().map(|id| id.0);
+        let track = |(at, c)| old(at).and_then(|o| self.tracks.get(o)).copied().unwrap_or(Track::new(c));
+        self.tracks = settings.classes.iter().enumerate().map(track).collect();
+        let follow = |f: &[f64], new: f64| -> Vec<f64> {
+            let of = |at| old(at).and_then(|o| f.get(o)).copied().unwrap_or(new);
+            (0..settings.classes.len()).map(of).collect()
+        };
+        self.usual_silent = follow(&self.usual_silent, 0.9);
+        self.upstreams.values_mut().for_each(|up| up.silent = follow(&up.silent, 0.0));
+        self.tenants.resize(settings.tenants.len(), Rate::new(secs(self.memory), self.began));
+        self.retries.budget = budget(&settings, secs(self.memory));
+        self.retries.binding = settings.rules.retry_budget.is_some();
+        self.settings = settings;
+    }
+
     /// How many listed upstreams are passed over now: they drain, can't be reached, or fail or are slow.
     pub fn avoided(&self, now: Time) -> usize {
         let alone = self.settings.rules.drain_binds_alone;
--- a/crates/sidecar/src/backend.rs
+++ b/crates/sidecar/src/backend.rs
@@ -35,8 +35,8 @@
     idle: RefCell<BTreeMap<UpstreamId, Vec<Idle<P::Stream>>>>,
     taken: Cell<usize>,
     most: usize,
-    keep: Duration,
-    connect_timeout: Duration,
+    keep: Cell<Duration>,
+    connect_timeout: Cell<Duration>,
     counters: Rc<Counters>,
 }
 
@@ -49,20 +49,23 @@
         connect_timeout: Duration,
         counters: Rc<Counters>,
     ) -> Rc<Pool<P>> {
-        // Danger: a request that crosses the other side's close ends as a reset that may have run, so none
-        // is written to a connection near its idle time.
-        let keep = idle.saturating_sub((idle / 8).max(Duration::from_millis(300)));
         Rc::new(Pool {
             platform,
             idle: RefCell::default(),
             taken: Cell::new(0),
             most,
-            keep,
-            connect_timeout,
+            keep: Cell::new(kept(idle)),
+            connect_timeout: Cell::new(connect_timeout),
             counters,
         })
     }
 
+    /// New settings.
+    pub fn retune(&self, idle: Duration, connect_timeout: Duration) {
+        self.keep.set(kept(idle));
+        self.connect_timeout.set(connect_timeout);
+    }
+
     /// A connection to a backend server: the one used last, if any is sound, or a new one.
     pub async fn get(
         self: &Rc<Self>,
@@ -79,7 +82,7 @@
         }
         // The place is taken before the wait, or many waiting at once would pass the limit.
         let place = Place::take(self);
-        let until = until.min(self.platform.now() + self.connect_timeout);
+        let until = until.min(self.platform.now() + self.connect_timeout.get());
         let stream = self.platform.timeout_at(until, self.platform.connect(address)).await??;
         stream.set_nodelay()?;
         count(&self.counters.backend_connections);
@@ -89,7 +92,7 @@
     fn reuse(&self, to: UpstreamId, address: SocketAddr) -> Option<P::Stream> {
         let mut idle = self.idle.borrow_mut();
         let kept = idle.get_mut(&to)?;
-        kept.retain(|c| c.address == address && self.platform.since(c.since) < self.keep);
+        kept.retain(|c| c.address == address && self.platform.since(c.since) < self.keep.get());
         let settled =
             |kept: &Vec<Idle<P::Stream>>| kept.iter().rposition(|c| self.platform.since(c.since) >= SETTLE);
         while let Some(at) = settled(kept) {
@@ -123,7 +126,7 @@
     pub fn sweep(&self) {
         let mut idle = self.idle.borrow_mut();
         for kept in idle.values_mut() {
-            kept.retain(|c| self.platform.since(c.since) < self.keep);
+            kept.retain(|c| self.platform.since(c.since) < self.keep.get());
         }
         idle.retain(|_, kept| !kept.is_empty());
     }
@@ -140,6 +143,12 @@
     }
 }
 
+/// How long a connection is kept where the other side closes what stands idle for `idle`. Danger: a request that crosses
+/// that close ends as a reset that may have run, so none is written to a connection near its idle time.
+fn kept(idle: Duration) -> Duration {
+    idle.saturating_sub((idle / 8).max(Duration::from_millis(300)))
+}
+
 /// A place among the connections in use, given back when dropped.
 struct Place<P: Platform>(Rc<Pool<P>>);
 
--- a/crates/sidecar/src/config.rs
+++ b/crates/sidecar/src/config.rs
@@ -5,6 +5,7 @@
 use serde_json::Value;
 use std::fmt;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 /// A field of the configuration that is missing or makes no sense.
@@ -60,6 +61,8 @@
     pub fields: Vec<Field>,
     /// What the sockets need of the settings.
     pub net: Sockets,
+    /// The whole file.
+    pub text: Rc<Value>,
 }
 
 impl Config {
@@ -78,15 +81,15 @@
     pub fn reload(var: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
         let value: Value = serde_json::from_str(&text(&var)?).map_err(|e| bad("LB_CONFIG", e))?;
         let told = value.get("discovery").is_some();
-        Config::read(&value, |name| var(name).filter(|_| !told || name != "LB_DISCOVERY"))
+        Config::read(value, |name| var(name).filter(|_| !told || name != "LB_DISCOVERY"))
     }
 
     /// Reads the configuration's text; what the environment says goes before it.
     pub fn parse(text: &str, var: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
-        Config::read(&serde_json::from_str(text).map_err(|e| bad("LB_CONFIG", e))?, var)
+        Config::read(serde_json::from_str(text).map_err(|e| bad("LB_CONFIG", e))?, var)
     }
 
-    fn read(value: &Value, var: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
+    fn read(value: Value, var: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
         let told = |name: &str, field: &str| -> Result<String, ConfigError> {
             let file = || value.get(field).and_then(Value::as_str).map(str::to_owned);
             var(name).or_else(file).ok_or_else(|| bad(field, "is missing"))
@@ -126,6 +129,7 @@
             settings: module,
             fields,
             net: read_sockets(settings).map_err(|e| bad("settings", e))?,
+            text: Rc::new(value),
         })
     }
 }
--- a/crates/sidecar/src/directory.rs
+++ b/crates/sidecar/src/directory.rs
@@ -22,9 +22,9 @@
     ids: RefCell<HashMap<String, UpstreamId>>,
     /// The next id. Danger: what is still out to one that is gone would be taken for its successor's.
     next: Cell<u32>,
-    zones: Vec<String>,
+    zones: RefCell<Vec<String>>,
     /// No first byte goes out so long after the notice of a drain.
-    grace: Duration,
+    grace: Cell<Duration>,
     /// The module's clock at the Unix epoch, in milliseconds; fixed, so that a start keeps its time.
     epoch: i128,
 }
@@ -47,13 +47,18 @@
             entries: RefCell::default(),
             ids: RefCell::default(),
             next: Cell::new(0),
-            zones,
-            // Written here is not yet arrived there, and both clocks may be held up.
-            grace: drain_grace.mul_f64(0.5),
+            zones: RefCell::new(zones),
+            grace: Cell::new(in_time(drain_grace)),
             epoch: now.as_millis() as i128 - unix.as_millis() as i128,
         }
     }
 
+    /// New settings.
+    pub fn retune(&self, zones: Vec<String>, drain_grace: Duration) {
+        self.zones.replace(zones);
+        self.grace.set(in_time(drain_grace));
+    }
+
     /// No backend server is named.
     pub fn is_empty(&self) -> bool {
         self.entries.borrow().is_empty()
@@ -73,7 +78,9 @@
     pub fn open(&self, id: UpstreamId, now: Instant) -> bool {
         let entries = self.entries.borrow();
         let closed = entries.get(&id).map(|e| e.closed);
-        closed.is_some_and(|closed| closed.is_none_or(|at| now.saturating_duration_since(at) < self.grace))
+        closed.is_some_and(|closed| {
+            closed.is_none_or(|at| now.saturating_duration_since(at) < self.grace.get())
+        })
     }
 
     /// Reads a list in discovery's form and takes it over; nothing is taken of one that can't be read.
@@ -159,7 +166,8 @@
             _ if state == State::Gone => None,
             _ => return None,
         };
-        let zone = text("zone").and_then(|zone| self.zones.iter().position(|z| z == zone));
+        let zones = self.zones.borrow();
+        let zone = text("zone").and_then(|zone| zones.iter().position(|z| z == zone));
         let since = value.get("since_ms").and_then(Value::as_i64).unwrap_or(0);
         // A start before the module's clock began was long ago.
         let started = (since > 0).then(|| i128::from(since) + self.epoch).filter(|&ms| ms > 0);
@@ -167,7 +175,7 @@
             upstream: UpstreamId(0),
             key: hash(name),
             cell: CellId(value.get("group").and_then(Value::as_u64).unwrap_or(0) as usize),
-            zone: ZoneId(zone.unwrap_or(self.zones.len())),
+            zone: ZoneId(zone.unwrap_or(zones.len())),
             started: started.map(|ms| Duration::from_millis(ms as u64)),
             state,
             weight: value.get("weight").and_then(Value::as_f64).unwrap_or(1.0),
@@ -176,6 +184,12 @@
     }
 }
 
+/// The part of a drain's grace in which a first byte goes out. Written here is not yet arrived there, and both clocks may
+/// be held up.
+fn in_time(drain_grace: Duration) -> Duration {
+    drain_grace.mul_f64(0.5)
+}
+
 /// The rows of a list that has come in part; of the last, the fields that came whole.
 fn rows(body: &[u8]) -> Vec<Value> {
     let mut rows = Vec::new();
--- a/crates/sidecar/src/dispatch.rs
+++ b/crates/sidecar/src/dispatch.rs
@@ -9,7 +9,7 @@
 use cometcroft::{ClassId, UpstreamId};
 use cometcroft_platform::Platform;
 use cometcroft_settings::Field;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -28,7 +28,7 @@
     /// Connections, and where they lead.
     pub exchanger: Exchanger<P>,
     /// The values that load reports hold.
-    pub fields: Rc<[Field]>,
+    pub fields: Rc<RefCell<Rc<[Field]>>>,
 }
 
 impl<P: Platform> Carrier for HttpCarrier<P> {
@@ -47,7 +47,10 @@
 
     fn probe(&self, to: UpstreamId) -> Later<Probed> {
         let carrier = self.clone();
-        Box::pin(async move { probe::ask(&carrier.exchanger, &carrier.fields, to).await })
+        Box::pin(async move {
+            let fields = carrier.fields.borrow().clone();
+            probe::ask(&carrier.exchanger, &fields, to).await
+        })
     }
 
     fn close_idle(&self, to: UpstreamId) {
@@ -74,7 +77,7 @@
         };
         match answered {
             Ok(Ok(answer)) => {
-                let report = answer.report().and_then(|text| probe::report(text, &self.fields));
+                let report = answer.report().and_then(|text| probe::report(text, &self.fields.borrow()));
                 Ended { outcome: outcome(&answer), report, answer: Some(answer) }
             }
             Ok(Err(error)) => unanswered((&error).into()),
--- a/crates/sidecar/src/frontend.rs
+++ b/crates/sidecar/src/frontend.rs
@@ -1,6 +1,7 @@
 //! The frontend: the listener and the client connections. It turns requests into sessions and verdicts into
 //! answers.
 
+use crate::classes::{Form, Register};
 use crate::counters::{Counters, count};
 use crate::dispatch::Payload;
 use crate::http::client::Answer;
@@ -9,9 +10,8 @@
 use crate::lifecycle::{Life, Machine};
 use crate::session::{Carrier, Host, Opening, Verdict};
 use bytes::{Bytes, BytesMut};
-use cometcroft::{Class, ClassId, Effect, TenantId};
+use cometcroft::{ClassId, Settings, TenantId};
 use cometcroft_platform::{Listener, Platform, Stream};
-use cometcroft_settings::Sockets;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashSet};
 use std::io;
@@ -43,8 +43,8 @@
 pub struct Frontend<C: HttpBackend> {
     platform: C::Platform,
     host: Rc<Host<C>>,
-    classes: Vec<Class>,
-    net: Sockets,
+    classes: RefCell<Register>,
+    tenants: RefCell<Vec<String>>,
     life: Rc<Life<C::Platform>>,
     counters: Rc<Counters>,
     most: usize,
@@ -68,8 +68,8 @@
     /// A frontend that holds at most `most` connections.
     pub fn new(
         host: Rc<Host<C>>,
-        classes: Vec<Class>,
-        net: Sockets,
+        classes: Register,
+        tenants: Vec<String>,
         life: Rc<Life<C::Platform>>,
         counters: Rc<Counters>,
         most: usize,
@@ -77,8 +77,8 @@
         Rc::new(Frontend {
             platform: host.platform().clone(),
             host,
-            classes,
-            net,
+            classes: RefCell::new(classes),
+            tenants: RefCell::new(tenants),
             life,
             counters,
             most,
@@ -90,6 +90,16 @@
         })
     }
 
+    /// New settings, with the names of their classes. What is open keeps the class that it came under.
+    pub fn retune(&self, mut settings: Settings, names: &[String], tenants: Vec<String>) {
+        let mut classes = self.classes.borrow_mut();
+        let from = classes.take(names, &settings.classes, self.platform.now());
+        settings.classes = classes.classes();
+        self.counters.figures.name(&classes.names());
+        self.tenants.replace(tenants);
+        self.host.retune(settings, from);
+    }
+
     /// Accepts and serves until the sidecar leaves, and returns when all is answered.
     pub async fn run(self: Rc<Self>, listener: ListenerOf<C>) {
         tokio::select! {
@@ -252,6 +262,7 @@
             }
         };
         let (class, _open) = (opening.class, self.counters.figures.begin());
+        let _held = Held::take(self, class);
         let verdict = {
             let served = self.host.serve(opening, due);
             tokio::pin!(served);
@@ -302,22 +313,15 @@
         if id.is_none_or(|id| id.is_empty() || id.len() > MAX_ID || !id.iter().all(u8::is_ascii_graphic)) {
             return Err(Fault::Malformed);
         }
-        let class = self.net.classes.iter().position(|name| name.as_bytes() == request.class());
-        let class = ClassId(class.ok_or(Fault::Malformed)?);
         // Danger: the class alone says whether a request may be repeated; one that comes in another class's form
-        // is not what it says, and a keyed one without its key is as unsafe to repeat as any.
+        // is not what it says.
         let key = request.headers.single("idempotency-key")?;
-        let formed = match self.classes.get(class.0).map(|class| class.effect) {
-            Some(Effect::Safe) => request.method == "GET" && request.body.is_empty(),
-            Some(Effect::Keyed { .. }) => request.method == "POST" && key.is_some_and(|key| !key.is_empty()),
-            Some(Effect::Unsafe) => request.method == "POST" && key.is_none(),
-            None => false,
-        };
-        if !formed {
-            return Err(Fault::Malformed);
-        }
+        let form = Form::of(&request.method, !request.body.is_empty(), key.map(|key| &key[..]));
+        let class =
+            form.and_then(|form| self.classes.borrow().find(request.class(), form, self.platform.now()));
+        let class = class.ok_or(Fault::Malformed)?;
         let caller = request.headers.single("x-caller")?;
-        let tenant = caller.and_then(|c| self.net.tenants.iter().position(|t| t.as_bytes() == c));
+        let tenant = caller.and_then(|c| self.tenants.borrow().iter().position(|t| t.as_bytes() == c));
         let repeat = request.headers.lists("x-again", "1");
         let (left, due) = time_left(request.budget()?, self.platform.since(since));
         let now = self.platform.now();
@@ -402,6 +406,22 @@
     }
 }
 
+/// A request that has the number of a class; the number is not another's as long as this is there.
+struct Held<'a, C: HttpBackend>(&'a Frontend<C>, ClassId);
+
+impl<'a, C: HttpBackend> Held<'a, C> {
+    fn take(frontend: &'a Frontend<C>, class: ClassId) -> Held<'a, C> {
+        frontend.classes.borrow_mut().hold(class);
+        Held(frontend, class)
+    }
+}
+
+impl<C: HttpBackend> Drop for Held<'_, C> {
+    fn drop(&mut self) {
+        self.0.classes.borrow_mut().release(self.1);
+    }
+}
+
 /// A connection's place among all of them, given back when dropped.
 struct Seat<C: HttpBackend>(Rc<Frontend<C>>);
 
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -5,6 +5,7 @@
 #![deny(missing_docs)]
 
 pub mod backend;
+pub mod classes;
 pub mod config;
 pub mod counters;
 pub mod directory;
@@ -17,21 +18,24 @@
 pub mod http;
 pub mod lifecycle;
 pub mod probe;
+pub mod retune;
 pub mod session;
 
 use crate::backend::Pool;
-use crate::config::{Config, ConfigError};
-use crate::counters::{Counters, count};
+use crate::classes::Register;
+use crate::config::Config;
+use crate::counters::Counters;
 use crate::directory::Directory;
-use crate::discovery::Source;
 use crate::dispatch::HttpCarrier;
 use crate::door::Door;
 use crate::exchange::Exchanger;
 use crate::frontend::{Frontend, HttpBackend};
 use crate::lifecycle::Life;
+use crate::retune::Control;
 use crate::session::Host;
 use cometcroft::{Event, ListScope};
 use cometcroft_platform::{Platform, Task};
+use std::cell::RefCell;
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
@@ -47,8 +51,8 @@
     pub listener: P::Listener,
     /// Where operators call, if anywhere.
     pub ops: Option<P::Listener>,
-    /// Where discovery is asked.
-    pub source: Rc<Source>,
+    /// Tells it of new configurations, and where discovery is.
+    pub control: Rc<Control>,
     /// Tells it when to leave.
     pub life: Rc<Life<P>>,
     /// What it counts.
@@ -67,7 +71,7 @@
     parts: Parts<P>,
     wrap: impl FnOnce(HttpCarrier<P>) -> C,
 ) -> io::Result<()> {
-    let Parts { listener, ops, source, life, counters } = parts;
+    let Parts { listener, ops, control, life, counters } = parts;
     // Danger: where the listener is inherited a second process may run beside this one, and both count as one.
     let sockets = if config.socket.is_some() { config.sockets / 2 } else { config.sockets };
     let connections = sockets.saturating_sub(RESERVE.min(sockets / 4));
@@ -78,8 +82,9 @@
     let directory = Rc::new(Directory::new(config.net.zones.clone(), grace, ORIGIN, platform.unix()));
     let exchanger =
         Exchanger { pool: pool.clone(), directory: directory.clone(), counters: counters.clone() };
-    let carrier = wrap(HttpCarrier { exchanger, fields: config.fields.into() });
-    let classes = config.settings.classes.clone();
+    let fields = Rc::new(RefCell::new(config.fields.into()));
+    let carrier = wrap(HttpCarrier { exchanger, fields: fields.clone() });
+    let register = Register::new(&config.net.classes, &config.settings.classes);
     let seed = config.seed;
     let host =
         Host::new(carrier, config.settings, seed, ORIGIN, counters.clone()).map_err(io::Error::other)?;
@@ -93,20 +98,37 @@
     }
     life.tell(|machine, _| machine.listed(!directory.is_empty(), false));
     // Another stream of numbers than the module's, from the same seed.
-    let watch = discovery::watch(host.clone(), directory.clone(), source, life.clone(), index, !seed);
+    let watch =
+        discovery::watch(host.clone(), directory.clone(), control.source.clone(), life.clone(), index, !seed);
     let watch = platform.spawn(watch);
-    let sweeper = platform.clone();
+    let (sweeper, swept) = (platform.clone(), pool.clone());
     let sweep = platform.spawn(async move {
         loop {
             sweeper.sleep(Duration::from_millis(250)).await;
-            pool.sweep();
+            swept.sweep();
         }
     });
     let door = ops.map(|ops| {
         let door = Door::new(host.clone(), directory.clone(), life.clone(), counters.clone());
         platform.spawn(door.run(ops))
     });
-    Frontend::new(host, classes, config.net, life, counters, to_clients).run(listener).await;
+    let frontend =
+        Frontend::new(host.clone(), register, config.net.tenants, life.clone(), counters, to_clients);
+    let tuned = frontend.clone();
+    let tune = platform.spawn(async move {
+        loop {
+            let Config { settings, net, fields: named, .. } = control.next().await;
+            // One step: nothing is awaited between the first and the last of these.
+            let longest = settings.classes.iter().map(|class| class.deadline).max().unwrap_or_default();
+            life.tell(|machine, _| machine.longest(longest));
+            directory.retune(net.zones, settings.rules.drain_grace);
+            pool.retune(net.idle, net.connect_timeout);
+            fields.replace(named.into());
+            tuned.retune(settings, &net.classes, net.tenants);
+        }
+    });
+    frontend.run(listener).await;
+    tune.abort();
     if let Some(door) = door {
         door.abort();
     }
@@ -114,23 +136,3 @@
     sweep.abort();
     Ok(())
 }
-
-/// What SIGHUP asks for: discovery moves to where the file that was read says. An error is counted and handed back.
-pub fn reload(
-    read: Result<Config, ConfigError>,
-    source: &Source,
-    counters: &Counters,
-) -> Result<(), ConfigError> {
-    // Danger: a file that makes no sense must not take down what serves; the old one stays in force.
-    match read {
-        Ok(config) => {
-            count(&counters.reloads);
-            source.move_to(config.discovery);
-            Ok(())
-        }
-        Err(error) => {
-            count(&counters.reload_failures);
-            Err(error)
-        }
-    }
-}
--- a/crates/sidecar/src/lifecycle.rs
+++ b/crates/sidecar/src/lifecycle.rs
@@ -50,6 +50,11 @@
         Machine { born: now, shared, kill, listed: false, fresh: false, drain: None, term: None }
     }
 
+    /// Clients wait for `longest` at most.
+    pub fn longest(&mut self, longest: Duration) {
+        self.kill = longest.min(LONGEST) + NOTICE;
+    }
+
     /// The list of backend servers is known, or known to be empty; `fresh` if discovery said so to this process.
     pub fn listed(&mut self, any: bool, fresh: bool) {
         self.listed = any;
--- a/crates/sidecar/src/main.rs
+++ b/crates/sidecar/src/main.rs
@@ -5,8 +5,8 @@
 use cometcroft_sidecar::Parts;
 use cometcroft_sidecar::config::Config;
 use cometcroft_sidecar::counters::Counters;
-use cometcroft_sidecar::discovery::Source;
 use cometcroft_sidecar::lifecycle::Life;
+use cometcroft_sidecar::retune::Control;
 use std::process::ExitCode;
 use std::rc::Rc;
 use tokio::net::TcpListener;
@@ -56,11 +56,11 @@
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let mut hangup = signal(SignalKind::hangup())?;
-    let source = Source::new(config.discovery);
-    let (moving, counted) = (source.clone(), counters.clone());
+    let control = Control::new(&config);
+    let (retuned, counted) = (control.clone(), counters.clone());
     Tokio.detach(async move {
         while hangup.recv().await.is_some() {
-            if let Err(error) = cometcroft_sidecar::reload(Config::reload(variable), &moving, &counted) {
+            if let Err(error) = retuned.reload(Config::reload(variable), &counted) {
                 eprintln!("cometcroft: new configuration: {error}");
             }
         }
@@ -82,5 +82,5 @@
         Some(ops) => Some(TcpListener::bind(ops).await?),
         None => None,
     };
-    cometcroft_sidecar::run(Tokio, config, Parts { listener, ops, source, life, counters }).await
+    cometcroft_sidecar::run(Tokio, config, Parts { listener, ops, control, life, counters }).await
 }
--- a/crates/sidecar/src/session/host.rs
+++ b/crates/sidecar/src/session/host.rs
@@ -2,7 +2,7 @@
 
 use super::table::{Command, Ended, Opening, SessionId, Table, Verdict};
 use crate::counters::Counters;
-use cometcroft::{Event, Outcome, Report, Settings, SettingsError, Time, UpstreamId};
+use cometcroft::{ClassId, Event, Outcome, Report, Settings, SettingsError, Time, UpstreamId};
 use cometcroft_platform::{Platform, Task};
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -106,6 +106,12 @@
         self.table.borrow().avoided(self.now())
     }
 
+    /// New settings. `from`: for each class, the one that it continues.
+    pub fn retune(self: &Rc<Self>, settings: Settings, from: Vec<Option<ClassId>>) {
+        let commands = self.table.borrow_mut().retune(self.now(), settings, from);
+        self.run(commands);
+    }
+
     /// How many sessions are owed an answer.
     pub fn owed(&self) -> usize {
         self.table.borrow().owed()
--- a/crates/sidecar/src/session/table.rs
+++ b/crates/sidecar/src/session/table.rs
@@ -141,6 +141,17 @@
         self.run(now)
     }
 
+    /// New settings. `from`: for each class, the one that it continues. Fewer attempts bind all sessions from now on.
+    pub fn retune(
+        &mut self,
+        now: Time,
+        settings: Settings,
+        from: Vec<Option<ClassId>>,
+    ) -> Vec<Command<P, A>> {
+        self.most = settings.limits.max_attempts as usize;
+        self.tell(now, Event::Retune { settings: Box::new(settings), from })
+    }
+
     /// A session has come in.
     pub fn open(&mut self, now: Time, opening: Opening<P>) -> (SessionId, Vec<Command<P, A>>) {
         let (id, Opening { class, tenant, left, repeat, payload }) = (self.next, opening);
--- a/crates/sidecar/tests/loopback.rs
+++ b/crates/sidecar/tests/loopback.rs
@@ -7,8 +7,8 @@
 use cometcroft_sidecar::Parts;
 use cometcroft_sidecar::config::Config;
 use cometcroft_sidecar::counters::Counters;
-use cometcroft_sidecar::discovery::Source;
 use cometcroft_sidecar::lifecycle::Life;
+use cometcroft_sidecar::retune::Control;
 use std::future::Future;
 use std::rc::Rc;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -50,7 +50,7 @@
     address: String,
     backend: TcpListener,
     discovery: TcpListener,
-    source: Rc<Source>,
+    control: Rc<Control>,
     counters: Rc<Counters>,
     life: Rc<Life<Tokio>>,
     ops: String,
@@ -73,16 +73,16 @@
         let config = Config::parse(&text, |_| None).expect("a configuration");
         let counters = Rc::new(Counters::default());
         let life = Rc::new(Life::new(Tokio, config.longest_deadline(), false));
-        let (address, ops, source) = (at(&listener), at(&door), Source::new(config.discovery));
+        let (address, ops, control) = (at(&listener), at(&door), Control::new(&config));
         let parts = Parts {
             listener,
             ops: Some(door),
-            source: source.clone(),
+            control: control.clone(),
             life: life.clone(),
             counters: counters.clone(),
         };
         let ended = spawn_local(cometcroft_sidecar::run(Tokio, config, parts));
-        let told = told(Sidecar { address, ops, backend, discovery, source, counters, life, ended });
+        let told = told(Sidecar { address, ops, backend, discovery, control, counters, life, ended });
         Tokio.timeout(std::time::Duration::from_secs(30), told).await.expect("the story ends");
     });
 }
@@ -369,7 +369,7 @@
         let mut old = next(&sidecar.discovery).await;
         assert!(old.hear().await.contains("?from=1&"));
         let moved = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-        sidecar.source.move_to(moved.local_addr().expect("an address"));
+        sidecar.control.source.move_to(moved.local_addr().expect("an address"));
         let mut new = next(&moved).await;
         assert!(new.hear().await.starts_with("GET /discovery/hosts HTTP/1.1"));
         assert_eq!(old.hear().await, "", "the old call is given up");
@@ -380,7 +380,7 @@
         // The module waits out a failure; a move in that time is followed all the same.
         drop((new, moved));
         let again = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-        sidecar.source.move_to(again.local_addr().expect("an address"));
+        sidecar.control.source.move_to(again.local_addr().expect("an address"));
         assert!(next(&again).await.hear().await.starts_with("GET /discovery/hosts HTTP/1.1"));
     });
 }
@@ -613,3 +613,56 @@
         assert!(back.hear().await.starts_with("HTTP/1.1 200"), "it is kept, as before the drain");
     });
 }
+
+#[test]
+fn what_is_under_way_keeps_its_class_while_new_settings_come() {
+    story(|sidecar| async move {
+        let text = |from: &str, to: &str| {
+            let known = r#"{"index":1,"snapshot":true,"endpoints":[]}"#;
+            let good = common::config("127.0.0.1:0", "127.0.0.1:1", known);
+            assert!(good.contains(from));
+            Config::parse(&good.replacen(from, to, 1), |_| None)
+        };
+        let mut client = Peer::to(&sidecar).await;
+        client.say(PLAN).await;
+        let mut server = next(&sidecar.backend).await;
+        server.hear().await;
+        // From now on a plan must not run twice; the one that is out may, as it came before.
+        let stricter = text("\"read_like\"", "\"non_idempotent\"");
+        sidecar.control.reload(stricter, &sidecar.counters).expect("whole");
+        rest().await;
+        server.say("HTTP/1.1 500 No\r\nConnection: close\r\nContent-Length: 0\r\n\r\n").await;
+        let mut server = next(&sidecar.backend).await;
+        server.hear().await;
+        server.say("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n").await;
+        assert!(client.hear().await.starts_with("HTTP/1.1 200"));
+        // In the old form, but under the new effect.
+        client.say(PLAN).await;
+        let mut server = next(&sidecar.backend).await;
+        server.hear().await;
+        server.say("HTTP/1.1 500 No\r\nConnection: close\r\nContent-Length: 0\r\n\r\n").await;
+        assert!(client.hear().await.starts_with("HTTP/1.1 502"));
+        // Fewer attempts bind from now on, and a bad file changes nothing.
+        sidecar
+            .control
+            .reload(text("\"max-attempts\":3", "\"max-attempts\":1"), &sidecar.counters)
+            .expect("whole");
+        sidecar
+            .control
+            .reload(text("\"step-ns\"", "\"s\""), &sidecar.counters)
+            .expect_err("a key is missing");
+        rest().await;
+        let dispatches = sidecar.counters.dispatches.get();
+        client.say(&PLAN.replace("GET /plan", "GET /plan/x")).await;
+        let mut server = next(&sidecar.backend).await;
+        server.hear().await;
+        server
+            .say("HTTP/1.1 503 No\r\nX-Rejected: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+            .await;
+        assert!(client.hear().await.starts_with("HTTP/1.1 503"));
+        assert_eq!(sidecar.counters.dispatches.get(), dispatches + 1);
+        let figures = stats(&sidecar).await;
+        assert_eq!((&figures["cfg_accepted"], &figures["cfg_invalid"]), (&2.into(), &1.into()));
+        assert_eq!(figures["operations"]["plan"]["faulted"], 1);
+    });
+}
--- a/crates/sidecar/tests/parts.rs
+++ b/crates/sidecar/tests/parts.rs
@@ -6,6 +6,7 @@
 use cometcroft_platform::{Platform, Tokio};
 use cometcroft_settings::Field;
 use cometcroft_sidecar::backend::Pool;
+use cometcroft_sidecar::classes::{AROUND, Form, Register};
 use cometcroft_sidecar::config::Config;
 use cometcroft_sidecar::counters::Counters;
 use cometcroft_sidecar::directory::Directory;
@@ -14,6 +15,7 @@
 use cometcroft_sidecar::http::client::Exchange;
 use cometcroft_sidecar::lifecycle::Machine;
 use cometcroft_sidecar::probe::report;
+use cometcroft_sidecar::retune::Control;
 use proptest::prelude::*;
 use serde_json::json;
 use std::time::Duration;
@@ -314,3 +316,109 @@
     }
     assert_eq!(Config::load(none).expect_err("unset").field, "LB_CONFIG");
 }
+
+#[test]
+fn of_a_new_file_nothing_is_taken_unless_it_is_whole() {
+    let good = common::config("127.0.0.1:0", "127.0.0.1:1", "null");
+    let parse = |text: &str| Config::parse(text, |_| None);
+    let config = parse(&good).expect("good");
+    let (control, counters) = (Control::new(&config), Counters::default());
+    let mut bad = 0;
+    let mut refused = |text: &str| {
+        bad += 1;
+        let error = control.reload(parse(text), &counters).expect_err(text).to_string();
+        assert!(!error.contains('\n') && counters.reload_failures.get() == bad, "{error}");
+        error
+    };
+    for cut in 0..good.trim_end().len() {
+        refused(&good[..cut]);
+    }
+    for (from, to, field) in [
+        ("\"deadline-ns\":3000000000", "\"deadline-ns\":0", "deadline"),
+        ("\"deadline-ns\":3000000000", "\"deadline-ns\":-1", "deadline-ns"),
+        ("\"max-attempts\":3", "\"max-attempts\":0", "max_attempts"),
+        // What a default would stand in for.
+        ("\"limits\"", "\"other\"", "limits"),
+        ("\"late-value\"", "\"other\"", "settings.request-classes.plan.late-value"),
+        ("\"sockets\":256", "\"s\":256", "limits.sockets"),
+    ] {
+        let error = refused(&good.replacen(from, to, 1));
+        assert!(error.contains(field), "{field}: {error}");
+    }
+    // A class may come, go, or change what it is; then it has other keys.
+    let keyless =
+        good.replacen("\"dedup-scope\":\"all\",\"effect\":\"read_like\"", "\"effect\":\"non_idempotent\"", 1);
+    control.reload(parse(&keyless), &counters).expect("whole");
+    control.reload(parse(&good.replacen("\"plan\"", "\"new\"", 1)), &counters).expect("whole");
+    assert_eq!(counters.reloads.get(), 2);
+}
+
+#[test]
+fn around_a_change_both_forms_are_taken_under_the_stricter_effect() {
+    let keyed = Effect::Keyed { scope: DedupScope::All, window: Duration::from_secs(5) };
+    let effects = [(Effect::Safe, Form::Plain), (keyed, Form::Keyed), (Effect::Unsafe, Form::Unkeyed)];
+    let class = |effect| Class { effect, ..Settings::example().classes[0].clone() };
+    let (names, now) = (["c".to_owned()], Tokio.now());
+    for (old, old_form) in effects {
+        for (new, new_form) in effects.into_iter().filter(|(new, _)| *new != old) {
+            let mut register = Register::new(&names, &[class(old)]);
+            assert_eq!(register.find(b"c", new_form, now), None);
+            let from = register.take(&names, &[class(new)], now);
+            assert!(from.iter().all(|from| *from == Some(ClassId(0))), "what was learned goes on");
+            for (form, at) in [(old_form, now), (new_form, now), (new_form, now + AROUND)] {
+                let found = register.find(b"c", form, at).expect("one of the two");
+                let effect = register.classes()[found.0].effect;
+                let keeps = effect == Effect::Unsafe || effect == keyed && form == Form::Keyed;
+                assert!(
+                    keeps || at > now || (old, new) == (Effect::Safe, Effect::Safe),
+                    "{old:?} {new:?} {form:?}"
+                );
+                assert!(at == now || effect == new, "then the new one alone");
+            }
+            assert_eq!(register.find(b"c", old_form, now + AROUND), None);
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(common::fixed(60))]
+    /// Over any files and requests, a number means one class to whoever holds it, and the table stays short.
+    #[test]
+    fn a_number_stands_for_one_class_while_anyone_holds_it(
+        steps in proptest::collection::vec((0..4u8, 0..3u8, 0..5u8, 0..3000u64), 1..300),
+    ) {
+        let keyed = Effect::Keyed { scope: DedupScope::All, window: Duration::from_secs(5) };
+        let class = |n: u8| Class {
+            effect: [Effect::Safe, keyed, Effect::Unsafe][usize::from(n % 3)],
+            deadline: Duration::from_secs(1 + u64::from(n / 3)),
+            ..Settings::example().classes[0].clone()
+        };
+        let names: Vec<_> = ["a", "b"].map(str::to_owned).into();
+        let mut register = Register::new(&names, &[class(0), class(1)]);
+        let (mut now, mut held) = (Tokio.now(), std::collections::VecDeque::new());
+        for (what, one, two, later) in steps {
+            now += Duration::from_millis(later);
+            match what {
+                0 => {
+                    let from = register.take(&names[..1 + usize::from(two % 2)], &[class(one), class(two)], now);
+                    prop_assert_eq!(from.len(), register.classes().len());
+                }
+                1 if !held.is_empty() => {
+                    let (id, _): (ClassId, Class) = held.pop_front().expect("one");
+                    register.release(id);
+                }
+                _ => {
+                    let form = [Form::Plain, Form::Keyed, Form::Unkeyed][usize::from(one)];
+                    if let Some(id) = register.find([&b"a"[..], b"b"][usize::from(two % 2)], form, now) {
+                        register.hold(id);
+                        held.push_back((id, register.classes()[id.0].clone()));
+                    }
+                }
+            }
+            for (id, class) in &held {
+                prop_assert_eq!(&register.classes()[id.0], class);
+            }
+            prop_assert!(register.classes().len() <= 40 + held.len());
+        }
+    }
+}
