Relay large answers from their head on, and read every form of HTTP/1.1

Cause: an answer over 64 KiB was taken for a spoilt one (http/message.rs, Body::take with one limit for whole and for long), so each was an error that may have run; a head of 2 s met a patience of 2 s; a request was timed from its first byte. Checked and ruled out: machine load (0.03 of a core at most), memory (2 of 48 MB). At fault beside it: take_head made half of an empty line ahead the start of a head, absolute targets were refused, trailers had no bound; all of them are tested byte by byte now. Change: Body gives pieces; Exchange hands out a large answer at its head; the connection goes along as Pieces and the frontend writes what it reads. An answer without a length counts where its head says close, or is HTTP/1.0. Patience for a head is 2.6 s, and a budget runs from the last byte. Figures count a large answer at its end. Tests: every kind of cut of a large answer, three ends without a length.

--- a/crates/emulator/src/sabotage.rs
+++ b/crates/emulator/src/sabotage.rs
@@ -6,7 +6,7 @@
 use cometcroft_platform::Platform;
 use cometcroft_sidecar::backend::Lease;
 use cometcroft_sidecar::dispatch::{HttpCarrier, Payload};
-use cometcroft_sidecar::http::client::Answer;
+use cometcroft_sidecar::exchange::Reply;
 use cometcroft_sidecar::session::{Carrier, Ended, Later, Probed};
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
@@ -66,7 +66,7 @@
     /// The defect.
     pub defect: Defect,
     /// The answer that was kept.
-    pub kept: Rc<RefCell<Option<Answer>>>,
+    pub kept: Rc<RefCell<Option<Reply>>>,
     /// Connections that were kept.
     pub hoard: Rc<RefCell<Vec<Lease<Sim>>>>,
     /// The newest backend server, and when it was first sent to.
@@ -83,13 +83,13 @@
 impl Carrier for Saboteur {
     type Platform = Sim;
     type Payload = Rc<Payload>;
-    type Answer = Answer;
+    type Answer = Reply;
 
     fn platform(&self) -> &Sim {
         self.inner.platform()
     }
 
-    fn dispatch(&self, to: UpstreamId, payload: Rc<Payload>, timeout: Duration) -> Later<Ended<Answer>> {
+    fn dispatch(&self, to: UpstreamId, payload: Rc<Payload>, timeout: Duration) -> Later<Ended<Reply>> {
         let now = self.platform().now();
         if self.newest.get().is_none_or(|(newest, _)| to > newest) {
             self.newest.set(Some((to, now)));
--- a/crates/sidecar/src/dispatch.rs
+++ b/crates/sidecar/src/dispatch.rs
@@ -1,8 +1,8 @@
 //! Dispatches and probes over HTTP: what the session host asks for, and what came of it.
 
 use crate::counters::count;
-use crate::exchange::{Exchanger, Lack, Stage, outcome, without_answer};
-use crate::http::client::{self, Answer};
+use crate::exchange::{Exchanger, Lack, Reply, Stage, outcome, without_answer};
+use crate::http::client;
 use crate::http::server::Request;
 use crate::probe;
 use crate::session::{Carrier, Ended, Later, Probed};
@@ -34,13 +34,13 @@
 impl<P: Platform> Carrier for HttpCarrier<P> {
     type Platform = P;
     type Payload = Rc<Payload>;
-    type Answer = Answer;
+    type Answer = Reply;
 
     fn platform(&self) -> &P {
         self.exchanger.pool.platform()
     }
 
-    fn dispatch(&self, to: UpstreamId, payload: Rc<Payload>, timeout: Duration) -> Later<Ended<Answer>> {
+    fn dispatch(&self, to: UpstreamId, payload: Rc<Payload>, timeout: Duration) -> Later<Ended<Reply>> {
         let carrier = self.clone();
         Box::pin(async move { carrier.attempt(to, &payload, carrier.platform().now() + timeout).await })
     }
@@ -59,7 +59,7 @@
 }
 
 impl<P: Platform> HttpCarrier<P> {
-    async fn attempt(&self, to: UpstreamId, payload: &Payload, ends: Instant) -> Ended<Answer> {
+    async fn attempt(&self, to: UpstreamId, payload: &Payload, ends: Instant) -> Ended<Reply> {
         let stage = Cell::new(Stage::Unwritten);
         let platform = self.platform();
         let message = || client::forward(&payload.request, ends.saturating_duration_since(platform.now()));
@@ -76,9 +76,10 @@
             Ended { outcome: without_answer(stage.get(), lack), report: None, answer: None }
         };
         match answered {
-            Ok(Ok(answer)) => {
-                let report = answer.report().and_then(|text| probe::report(text, &self.fields.borrow()));
-                Ended { outcome: outcome(&answer), report, answer: Some(answer) }
+            Ok(Ok(reply)) => {
+                let report =
+                    reply.answer.report().and_then(|text| probe::report(text, &self.fields.borrow()));
+                Ended { outcome: outcome(&reply.answer), report, answer: Some(reply) }
             }
             Ok(Err(error)) => unanswered((&error).into()),
             Err(_) => unanswered(Lack::Late),
--- a/crates/sidecar/src/exchange.rs
+++ b/crates/sidecar/src/exchange.rs
@@ -1,15 +1,18 @@
 //! One request to a backend server and its answer: a connection, the request written whole, the answer read whole,
 //! and what its end says about whether the request has run.
 
-use crate::backend::Pool;
+use crate::backend::{Lease, Pool};
 use crate::counters::{Counters, count};
 use crate::directory::Directory;
 use crate::http::client::{Answer, Exchange};
-use crate::http::{Fault, MAX_BODY};
+use crate::http::{Fault, MAX_BULK, Piece};
 use bytes::Bytes;
 use cometcroft::{Outcome, UpstreamId};
 use cometcroft_platform::Platform;
+use std::cell::RefCell;
+use std::fmt;
 use std::io;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -80,7 +83,7 @@
         message: impl FnOnce() -> Bytes,
         ends: Instant,
         written: impl FnOnce(),
-    ) -> io::Result<Answer> {
+    ) -> io::Result<Reply> {
         let address = self.directory.address(to).ok_or(io::ErrorKind::AddrNotAvailable)?;
         let mut lease = self.pool.get(to, address, ends).await?;
         // Danger: the notice of a drain may have come while the connection was being made; the grace is
@@ -91,15 +94,95 @@
         }
         lease.stream.write_all(&message()).await?;
         written();
-        let mut exchange = Exchange::delimited(MAX_BODY);
+        let mut exchange = Exchange::delimited(MAX_BULK);
         let answer = read_answer(self.pool.platform(), &mut lease.stream, &mut exchange, STALLED).await?;
-        if exchange.reusable() {
+        let bulk = answer.bulk.is_some();
+        if !bulk && exchange.reusable() {
             self.pool.put(to, lease);
+            return Ok(Reply { answer, rest: Rest::default() });
         }
-        Ok(answer)
+        // Only an answer that is passed on is read to its end.
+        let rest = (bulk && answer.status == 200)
+            .then(|| Box::new(Remainder { pool: self.pool.clone(), to, lease: Some(lease), exchange }));
+        Ok(Reply { answer, rest: Rest(Rc::new(RefCell::new(rest.map(|rest| rest as Box<dyn Pieces>)))) })
     }
 }
 
+/// An answer, and where the rest of it comes from if it is not held whole.
+#[derive(Debug, Clone)]
+pub struct Reply {
+    /// The answer, or its head and beginning.
+    pub answer: Answer,
+    /// The rest.
+    pub rest: Rest,
+}
+
+/// A later piece, or none at the end.
+type Next<'a> = Pin<Box<dyn Future<Output = io::Result<Option<Bytes>>> + 'a>>;
+
+/// A body that comes in pieces.
+pub trait Pieces {
+    /// The next piece.
+    fn next(&mut self) -> Next<'_>;
+}
+
+/// The rest of an answer, for whoever takes it first.
+#[derive(Clone, Default)]
+pub struct Rest(Rc<RefCell<Option<Box<dyn Pieces>>>>);
+
+impl Rest {
+    /// The pieces.
+    pub fn take(&self) -> Option<Box<dyn Pieces>> {
+        self.0.borrow_mut().take()
+    }
+}
+
+impl fmt::Debug for Rest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(if self.0.borrow().is_some() { "Rest(..)" } else { "Rest" })
+    }
+}
+
+/// A large answer that is still coming.
+struct Remainder<P: Platform> {
+    pool: Rc<Pool<P>>,
+    to: UpstreamId,
+    lease: Option<Lease<P>>,
+    exchange: Exchange,
+}
+
+impl<P: Platform> Pieces for Remainder<P> {
+    fn next(&mut self) -> Next<'_> {
+        Box::pin(async {
+            let mut ended = false;
+            loop {
+                match self.exchange.piece(ended).map_err(bad)? {
+                    Piece::Bytes(piece) => return Ok(Some(piece)),
+                    Piece::End => {
+                        if let Some(lease) = self.lease.take().filter(|_| self.exchange.reusable()) {
+                            self.pool.put(self.to, lease);
+                        }
+                        return Ok(None);
+                    }
+                    Piece::More if ended => return Err(io::ErrorKind::UnexpectedEof.into()),
+                    Piece::More => {}
+                }
+                let Some(lease) = &mut self.lease else { return Ok(None) };
+                let read = lease.stream.read_buf(self.exchange.buffer());
+                ended = self.pool.platform().timeout(SILENT, read).await?? == 0;
+            }
+        })
+    }
+}
+
+/// A large answer that has begun is given up when nothing of it has come for so long. Danger: what its sender still gives
+/// must not be cut off, and who is slow may pause.
+const SILENT: Duration = Duration::from_secs(10);
+
+fn bad(fault: Fault) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, format!("{fault:?}"))
+}
+
 /// An answer that has begun goes on within this time; whoever answers has all of it.
 const STALLED: Duration = Duration::from_millis(500);
 
@@ -110,7 +193,6 @@
     exchange: &mut Exchange,
     stalled: Duration,
 ) -> io::Result<Answer> {
-    let bad = |fault: Fault| io::Error::new(io::ErrorKind::InvalidData, format!("{fault:?}"));
     loop {
         // Danger: a length that promises more than comes leaves the connection open and silent, and the session
         // would wait out its whole time with none left to try again.
--- a/crates/sidecar/src/frontend.rs
+++ b/crates/sidecar/src/frontend.rs
@@ -4,8 +4,9 @@
 use crate::classes::{Form, Register};
 use crate::counters::{Counters, count};
 use crate::dispatch::Payload;
-use crate::http::client::Answer;
-use crate::http::server::{Connection, Request, Status, Step};
+use crate::exchange::{Pieces, Reply};
+use crate::figures::Tally;
+use crate::http::server::{Coding, Connection, Request, Status, Step};
 use crate::http::{Fault, MAX_BODY};
 use crate::lifecycle::{Life, Machine};
 use crate::session::{Carrier, Host, Opening, Verdict};
@@ -23,7 +24,7 @@
 /// A client that takes no bytes of its answer for so long is let go.
 const STALLED: Duration = Duration::from_secs(10);
 /// A request is whole so long after its connection or its first byte came, or it is turned away.
-const UNREADY: Duration = Duration::from_millis(2000);
+const UNREADY: Duration = Duration::from_millis(2600);
 /// A connection that has brought no whole request for so long is the first to make room.
 const SLOW: Duration = Duration::from_millis(250);
 /// A connection is not closed as idle so soon after it came.
@@ -32,9 +33,9 @@
 const MAX_ID: usize = 128;
 
 /// A carrier that brings HTTP requests to backend servers: whatever it is, this frontend can stand before it.
-pub trait HttpBackend: Carrier<Payload = Rc<Payload>, Answer = Answer> {}
+pub trait HttpBackend: Carrier<Payload = Rc<Payload>, Answer = Reply> {}
 
-impl<C: Carrier<Payload = Rc<Payload>, Answer = Answer>> HttpBackend for C {}
+impl<C: Carrier<Payload = Rc<Payload>, Answer = Reply>> HttpBackend for C {}
 
 type StreamOf<C> = <<C as Carrier>::Platform as Platform>::Stream;
 type ListenerOf<C> = <<C as Carrier>::Platform as Platform>::Listener;
@@ -161,6 +162,8 @@
         let mut machine = Connection::default();
         let connected = self.platform.now();
         let (mut since, mut first) = (connected, true);
+        // When the last bytes came: the time of a request counts from its last byte.
+        let mut last = connected;
         // Places that lie evenly, however many there are: multiples of the golden ratio.
         let place = (self.turn.replace(self.turn.get() + 1) as f64 * 0.618_033_988_749_895).fract();
         while !machine.closed() {
@@ -169,8 +172,12 @@
                     let idle = machine.idle();
                     let owes = if first { Some(connected) } else { (!idle).then_some(since) };
                     match self.read(&mut stream, &mut machine, owes, place).await? {
-                        Read::Bytes if idle => since = self.platform.now(),
-                        Read::Bytes => {}
+                        Read::Bytes => {
+                            last = self.platform.now();
+                            if idle {
+                                since = last;
+                            }
+                        }
                         Read::Ended => return Ok(()),
                         Read::Late if idle => return Ok(()),
                         Read::Late => {
@@ -182,9 +189,9 @@
                 Step::Continue(bytes) => stream.write_all(bytes).await?,
                 Step::Request(request) => {
                     first = false;
-                    match self.request(&mut stream, &mut machine, request, since).await? {
+                    match self.request(&mut stream, &mut machine, request, last).await? {
                         // Danger: what came early has waited since then, and its budget has run.
-                        Some(early) => since = early,
+                        Some(early) => (since, last) = (early, early),
                         None => return Ok(()),
                     }
                 }
@@ -284,25 +291,37 @@
         // What it was counted for and its id are free before its answer can be seen.
         drop(id);
         let close = closes();
-        self.counters.figures.count(class, |tally| match &verdict {
-            Verdict::Served(_) => &mut tally.fulfilled,
-            Verdict::Denied { .. } => &mut tally.throttled,
-            Verdict::Failed | Verdict::Overdue => &mut tally.faulted,
-        });
+        let tally = |what: fn(&mut Tally) -> &mut u64| self.counters.figures.count(class, what);
         match verdict {
-            Verdict::Served(Answer { headers, body, .. }) => {
-                let kind = headers.single("content-type").ok().flatten();
+            Verdict::Served(Reply { answer, rest }) => {
+                let kind = answer.headers.single("content-type").ok().flatten();
                 let kind = kind.and_then(|kind| std::str::from_utf8(kind).ok());
                 let extra = kind.map(|kind| format!("Content-Type: {kind}\r\n")).unwrap_or_default();
-                self.reply(stream, machine, Status::Ok, &extra, &body, close).await?;
+                let Some(bulk) = answer.bulk else {
+                    tally(|tally| &mut tally.fulfilled);
+                    self.reply(stream, machine, Status::Ok, &extra, &answer.body, close).await?;
+                    return Ok(Some(early.unwrap_or_else(|| self.platform.now())));
+                };
+                let (head, coding) = machine.begin(&extra, bulk.length, close);
+                let Some(rest) = rest.take() else { return Ok(None) };
+                // Danger: a client must be able to tell that an answer is not whole, so what breaks off ends its
+                // connection without the end mark or short of the length.
+                let whole = self.relay(stream, head, coding, answer.body, rest).await;
+                tally(if whole.is_ok() { |tally| &mut tally.fulfilled } else { |tally| &mut tally.faulted });
+                whole?;
             }
             Verdict::Denied { retry_after } => {
+                tally(|tally| &mut tally.throttled);
                 let after = retry_after.unwrap_or(Duration::from_secs(1)).as_secs_f64();
                 let extra = format!("Retry-After: {after:.3}\r\n");
                 self.reply(stream, machine, Status::Unavailable, &extra, b"", close).await?;
             }
-            Verdict::Failed => self.reply(stream, machine, Status::BadGateway, "", b"", close).await?,
-            Verdict::Overdue => self.reply(stream, machine, Status::GatewayTimeout, "", b"", close).await?,
+            Verdict::Failed | Verdict::Overdue => {
+                tally(|tally| &mut tally.faulted);
+                let late = matches!(verdict, Verdict::Overdue);
+                let status = if late { Status::GatewayTimeout } else { Status::BadGateway };
+                self.reply(stream, machine, status, "", b"", close).await?;
+            }
         }
         Ok(Some(early.unwrap_or_else(|| self.platform.now())))
     }
@@ -331,6 +350,33 @@
         Ok((Opening { class, tenant: tenant.map(TenantId), left, repeat, payload }, due))
     }
 
+    /// Passes a large answer on as it comes.
+    async fn relay(
+        &self,
+        stream: &mut StreamOf<C>,
+        head: Bytes,
+        coding: Coding,
+        first: Bytes,
+        mut rest: Box<dyn Pieces>,
+    ) -> io::Result<()> {
+        let mut message = BytesMut::from(head);
+        let mut piece = Some(first);
+        while let Some(bytes) = piece {
+            // An empty chunk would be the end mark.
+            if !bytes.is_empty() {
+                let (before, behind) = coding.round(bytes.len());
+                message.reserve(before.len() + bytes.len() + behind.len());
+                for part in [&before[..], &bytes[..], behind] {
+                    message.extend_from_slice(part);
+                }
+            }
+            self.platform.timeout(STALLED, stream.write_all(&message)).await??;
+            message.clear();
+            piece = rest.next().await?;
+        }
+        self.platform.timeout(STALLED, stream.write_all(coding.end())).await?
+    }
+
     async fn reply(
         &self,
         stream: &mut StreamOf<C>,
--- a/crates/sidecar/src/http/client.rs
+++ b/crates/sidecar/src/http/client.rs
@@ -1,6 +1,6 @@
 //! The side of a connection towards a backend server or discovery: one request out, one answer in.
 
-use super::message::{Body, Fault, Headers, roomy, take_head};
+use super::message::{Body, Collected, Fault, Headers, MAX_BODY, Piece, WINDOW, roomy, take_head};
 use super::server::Request;
 use bytes::{BufMut, Bytes, BytesMut};
 use std::time::Duration;
@@ -12,8 +12,17 @@
     pub status: u16,
     /// Its header lines.
     pub headers: Headers,
-    /// Its body.
+    /// Its body, or the beginning of it.
     pub body: Bytes,
+    /// The rest of the body is still to come.
+    pub bulk: Option<Bulk>,
+}
+
+/// What is known of a body that is not held whole.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Bulk {
+    /// Its length, if the head says so.
+    pub length: Option<usize>,
 }
 
 impl Answer {
@@ -35,6 +44,8 @@
     scanned: usize,
     head: Option<(u16, Headers, Body)>,
     most: usize,
+    /// What is larger than this is handed out at its head.
+    hold: usize,
     keep: bool,
     /// The answer must say where it ends.
     delimited: bool,
@@ -49,13 +60,22 @@
     /// An exchange whose answer holds no more than `most` bytes of body.
     pub fn new(most: usize) -> Exchange {
         let buffer = BytesMut::with_capacity(1024);
-        Exchange { buffer, scanned: 0, head: None, most, keep: false, delimited: false, interim: 0 }
+        Exchange {
+            buffer,
+            scanned: 0,
+            head: None,
+            most,
+            hold: most,
+            keep: false,
+            delimited: false,
+            interim: 0,
+        }
     }
 
-    /// The same for one that is passed on. Danger: a body that goes on until its connection ends looks whole
-    /// wherever the sender broke off.
+    /// The same for one that is passed on, as it comes where it is large. Danger: a body that goes on until its
+    /// connection ends looks whole wherever the sender broke off, so its head must say that the end was meant.
     pub fn delimited(most: usize) -> Exchange {
-        Exchange { delimited: true, ..Exchange::new(most) }
+        Exchange { delimited: true, hold: MAX_BODY.min(most), ..Exchange::new(most) }
     }
 
     /// Part of the answer that counts has come.
@@ -65,12 +85,17 @@
 
     /// What has come of a body of known length that is not whole yet.
     pub fn part(&self) -> &[u8] {
-        if matches!(self.head, Some((200, _, Body::Length(_)))) { &self.buffer } else { &[] }
+        match &self.head {
+            Some((200, _, body)) if body.left().is_some() => &self.buffer,
+            _ => &[],
+        }
     }
 
     /// The buffer that bytes are to be read into.
     pub fn buffer(&mut self) -> &mut BytesMut {
-        roomy(&mut self.buffer)
+        let bulk =
+            self.head.as_ref().is_some_and(|(.., body)| body.left().is_none_or(|left| left > MAX_BODY));
+        roomy(&mut self.buffer, if bulk { WINDOW } else { 4096 })
     }
 
     /// Looks at what has come. `ended`: no more bytes will come.
@@ -99,16 +124,37 @@
             let framed = Body::framed(&headers, self.most)?;
             self.keep = rest[0] == b'1' && !headers.lists("connection", "close") && framed.is_some();
             let body = match framed {
-                _ if matches!(status, 204 | 304) => Body::Length(0),
+                _ if matches!(status, 204 | 304) => Body::none(),
                 Some(body) => body,
-                None if self.delimited => return Err(Fault::Malformed),
-                None => Body::UntilEnd,
+                None if self.delimited && rest[0] == b'1' && !headers.lists("connection", "close") => {
+                    return Err(Fault::Malformed);
+                }
+                None => Body::until_end(self.most),
             };
             self.head = Some((status, headers, body));
         }
-        let Some((_, _, body)) = &mut self.head else { return Ok(None) };
-        let Some(body) = body.take(&mut self.buffer, ended, self.most)? else { return Ok(None) };
-        Ok(self.head.take().map(|(status, headers, _)| Answer { status, headers, body }))
+        let Some((status, headers, body)) = &mut self.head else { return Ok(None) };
+        let (status, length) = (*status, body.left());
+        match body.collect(&mut self.buffer, ended, self.hold)? {
+            Collected::More => Ok(None),
+            Collected::Whole(body) => {
+                Ok(self.head.take().map(|(_, headers, _)| Answer { status, headers, body, bulk: None }))
+            }
+            Collected::Large(body) => {
+                let headers = std::mem::take(headers);
+                Ok(Some(Answer { status, headers, body, bulk: Some(Bulk { length }) }))
+            }
+        }
+    }
+
+    /// Of an answer that is not held whole, the next piece.
+    pub fn piece(&mut self, ended: bool) -> Result<Piece, Fault> {
+        let Some((_, _, body)) = &mut self.head else { return Ok(Piece::End) };
+        let piece = body.piece(&mut self.buffer, ended)?;
+        if piece == Piece::End {
+            self.head = None;
+        }
+        Ok(piece)
     }
 
     /// The connection may carry another request: the answer kept it open and nothing came after it.
--- a/crates/sidecar/src/http/message.rs
+++ b/crates/sidecar/src/http/message.rs
@@ -4,8 +4,12 @@
 
 /// The longest head that is read.
 pub const MAX_HEAD: usize = 16 * 1024;
-/// The longest body that is read.
+/// The longest body that is held whole.
 pub const MAX_BODY: usize = 64 * 1024;
+/// The longest body that is passed on.
+pub const MAX_BULK: usize = 32 << 20;
+/// So much of a larger one is read at once.
+pub const WINDOW: usize = 32 * 1024;
 
 /// Why a message can't be read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -57,6 +61,10 @@
     while *scanned == 0 && buffer.starts_with(b"\r\n") {
         buffer.advance(2);
     }
+    // Danger: half of such a line, taken for the start of a head, would make it one that begins with nothing.
+    if *scanned == 0 && buffer[..] == b"\r"[..] {
+        return Ok(None);
+    }
     let from = scanned.saturating_sub(3);
     let Some(end) = buffer[from..].windows(4).position(|w| w == b"\r\n\r\n").map(|at| from + at) else {
         *scanned = buffer.len();
@@ -93,9 +101,9 @@
 }
 
 /// Makes room for the next read. Left to itself, a full buffer grows by a few bytes at a time.
-pub(super) fn roomy(buffer: &mut BytesMut) -> &mut BytesMut {
+pub(super) fn roomy(buffer: &mut BytesMut, window: usize) -> &mut BytesMut {
     if buffer.capacity() - buffer.len() < 512 {
-        buffer.reserve(4096);
+        buffer.reserve(window);
     }
     buffer
 }
@@ -104,18 +112,64 @@
     *b == b'\t' || (*b >= 0x20 && *b != 0x7f)
 }
 
-/// How far a body has been read.
+/// What has come of a body.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Piece {
+    /// Some of it.
+    Bytes(Bytes),
+    /// Nothing until more is read.
+    More,
+    /// Its end.
+    End,
+}
+
+/// What has come of a body that may be wanted whole.
+#[derive(Debug)]
+pub(super) enum Collected {
+    More,
+    Whole(Bytes),
+    /// It is larger than what is held; this much of it has been taken off the buffer.
+    Large(Bytes),
+}
+
 #[derive(Debug)]
-pub(super) enum Body {
-    /// So many bytes.
+enum Framing {
+    /// So many bytes are still to come.
     Length(usize),
     /// Chunks, of which so many bytes of the current one are left.
-    Chunked { left: usize, within: bool, trailer: bool, whole: BytesMut },
+    Chunked { left: usize, within: bool, trailer: bool },
     /// All until the connection ends.
     UntilEnd,
 }
 
+/// How a body is framed, how far it has been read and how much more of it may come.
+#[derive(Debug)]
+pub(super) struct Body {
+    framing: Framing,
+    room: usize,
+    /// Bytes of lines between chunks and behind them that may still come without any of the body.
+    lines: usize,
+    held: BytesMut,
+}
+
+/// Lines of chunk sizes and trailers may hold so many bytes between them.
+const MAX_LINES: usize = 8 * 1024;
+
 impl Body {
+    fn new(framing: Framing, room: usize) -> Body {
+        Body { framing, room, lines: MAX_LINES, held: BytesMut::new() }
+    }
+
+    /// No body.
+    pub(super) fn none() -> Body {
+        Body::new(Framing::Length(0), 0)
+    }
+
+    /// A body that its connection's end ends.
+    pub(super) fn until_end(most: usize) -> Body {
+        Body::new(Framing::UntilEnd, most)
+    }
+
     /// What the head says of the body; `None` where it says nothing.
     pub(super) fn framed(headers: &Headers, most: usize) -> Result<Option<Body>, Fault> {
         let length = headers.single("content-length")?;
@@ -124,8 +178,8 @@
             if length.is_some() || !coding.eq_ignore_ascii_case(b"chunked") {
                 return Err(Fault::Malformed);
             }
-            let whole = BytesMut::new();
-            return Ok(Some(Body::Chunked { left: 0, within: false, trailer: false, whole }));
+            let framing = Framing::Chunked { left: 0, within: false, trailer: false };
+            return Ok(Some(Body::new(framing, most)));
         }
         let Some(length) = length else { return Ok(None) };
         if length.is_empty() || !length.iter().all(u8::is_ascii_digit) {
@@ -133,57 +187,101 @@
         }
         // A number that does not fit is a body that is too long, whatever it is exactly.
         match std::str::from_utf8(length).ok().and_then(|l| l.parse::<usize>().ok()) {
-            Some(length) if length <= most => Ok(Some(Body::Length(length))),
+            Some(length) if length <= most => Ok(Some(Body::new(Framing::Length(length), most))),
             _ => Err(Fault::BodyTooLong),
         }
     }
 
-    /// Takes the body off the buffer once it is whole. `ended`: no more bytes will come.
-    pub(super) fn take(
+    /// What is still to come, where that is known.
+    pub(super) fn left(&self) -> Option<usize> {
+        match self.framing {
+            Framing::Length(left) => Some(left),
+            _ => None,
+        }
+    }
+
+    /// Takes the body off the buffer once it is whole, or what there is of it once it is known to be larger than `hold`.
+    pub(super) fn collect(
         &mut self,
         buffer: &mut BytesMut,
         ended: bool,
-        most: usize,
-    ) -> Result<Option<Bytes>, Fault> {
-        match self {
-            Body::Length(length) if buffer.len() >= *length => Ok(Some(buffer.split_to(*length).freeze())),
-            Body::Length(_) => Ok(None),
-            Body::UntilEnd if buffer.len() > most => Err(Fault::BodyTooLong),
-            Body::UntilEnd => Ok(ended.then(|| buffer.split().freeze())),
-            Body::Chunked { left, within, trailer, whole } => loop {
-                if *within {
-                    let part = buffer.split_to((*left).min(buffer.len()));
-                    *left -= part.len();
-                    whole.extend_from_slice(&part);
-                    if *left > 0 || buffer.len() < 2 {
-                        return Ok(None);
+        hold: usize,
+    ) -> Result<Collected, Fault> {
+        // A body of known length lies in the buffer until it is whole, and is cut off it without a copy.
+        if let Framing::Length(left) = self.framing {
+            return Ok(match left {
+                _ if left > hold => Collected::Large(Bytes::new()),
+                _ if buffer.len() < left => Collected::More,
+                _ => Collected::Whole(buffer.split_to(left).freeze()),
+            });
+        }
+        loop {
+            match self.piece(buffer, ended)? {
+                Piece::Bytes(piece) => self.held.extend_from_slice(&piece),
+                Piece::More => return Ok(Collected::More),
+                Piece::End => return Ok(Collected::Whole(self.held.split().freeze())),
+            }
+            if self.held.len() > hold {
+                return Ok(Collected::Large(std::mem::take(&mut self.held).freeze()));
+            }
+        }
+    }
+
+    /// Takes the next piece off the buffer. `ended`: no more bytes will come.
+    pub(super) fn piece(&mut self, buffer: &mut BytesMut, ended: bool) -> Result<Piece, Fault> {
+        loop {
+            let most = match &mut self.framing {
+                Framing::Length(0) => return Ok(Piece::End),
+                Framing::Length(left) => *left,
+                Framing::UntilEnd if buffer.is_empty() && ended => return Ok(Piece::End),
+                Framing::UntilEnd => usize::MAX,
+                Framing::Chunked { left: 0, within, trailer } => {
+                    if *within {
+                        if buffer.len() < 2 {
+                            return Ok(Piece::More);
+                        }
+                        if !buffer.starts_with(b"\r\n") {
+                            return Err(Fault::Malformed);
+                        }
+                        buffer.advance(2);
+                        *within = false;
                     }
-                    if !buffer.starts_with(b"\r\n") {
-                        return Err(Fault::Malformed);
+                    let Some(end) = buffer.windows(2).position(|w| w == b"\r\n") else {
+                        return if buffer.len() > 1024 { Err(Fault::Malformed) } else { Ok(Piece::More) };
+                    };
+                    let line = buffer.split_to(end + 2);
+                    let line = &line[..end];
+                    // Danger: lines that never come to an end would be read for ever.
+                    self.lines = self.lines.checked_sub(end + 2).ok_or(Fault::Malformed)?;
+                    if *trailer {
+                        if line.is_empty() {
+                            self.framing = Framing::Length(0);
+                        }
+                        continue;
                     }
-                    buffer.advance(2);
-                    *within = false;
-                }
-                let Some(end) = buffer.windows(2).position(|w| w == b"\r\n") else {
-                    return if buffer.len() > 1024 { Err(Fault::Malformed) } else { Ok(None) };
-                };
-                let line = buffer.split_to(end + 2);
-                let line = &line[..end];
-                if *trailer {
-                    if line.is_empty() {
-                        return Ok(Some(whole.split().freeze()));
+                    let size = line.split(|&b| b == b';').next().unwrap_or_default().trim_ascii();
+                    let digits = !size.is_empty() && size.iter().all(u8::is_ascii_hexdigit);
+                    let size = std::str::from_utf8(size).ok().filter(|_| digits).ok_or(Fault::Malformed)?;
+                    let size = usize::from_str_radix(size, 16).map_err(|_| Fault::BodyTooLong)?;
+                    if size > self.room {
+                        return Err(Fault::BodyTooLong);
                     }
+                    self.framing = Framing::Chunked { left: size, within: size > 0, trailer: size == 0 };
                     continue;
                 }
-                let size = line.split(|&b| b == b';').next().unwrap_or_default().trim_ascii();
-                let digits = !size.is_empty() && size.iter().all(u8::is_ascii_hexdigit);
-                let size = std::str::from_utf8(size).ok().filter(|_| digits).ok_or(Fault::Malformed)?;
-                let size = usize::from_str_radix(size, 16).map_err(|_| Fault::BodyTooLong)?;
-                if size > most.saturating_sub(whole.len()) {
-                    return Err(Fault::BodyTooLong);
-                }
-                (*left, *within, *trailer) = (size, size > 0, size == 0);
-            },
+                Framing::Chunked { left, .. } => *left,
+            };
+            let came = most.min(buffer.len());
+            if came == 0 {
+                return Ok(Piece::More);
+            }
+            self.room = self.room.checked_sub(came).ok_or(Fault::BodyTooLong)?;
+            // Body buys lines: small chunks are slow, but they end.
+            self.lines = (self.lines + came.saturating_mul(16)).min(MAX_LINES);
+            if let Framing::Length(left) | Framing::Chunked { left, .. } = &mut self.framing {
+                *left -= came;
+            }
+            return Ok(Piece::Bytes(buffer.split_to(came).freeze()));
         }
     }
 }
--- a/crates/sidecar/src/http/mod.rs
+++ b/crates/sidecar/src/http/mod.rs
@@ -7,4 +7,4 @@
 mod message;
 pub mod server;
 
-pub use message::{Fault, Headers, MAX_BODY, MAX_HEAD};
+pub use message::{Fault, Headers, MAX_BODY, MAX_BULK, MAX_HEAD, Piece, WINDOW};
--- a/crates/sidecar/src/http/server.rs
+++ b/crates/sidecar/src/http/server.rs
@@ -1,6 +1,6 @@
 //! The frontend's side of a connection: requests come in, one answer to each goes out.
 
-use super::message::{Body, Fault, Headers, MAX_BODY, roomy, take_head};
+use super::message::{Body, Collected, Fault, Headers, MAX_BODY, roomy, take_head};
 use bytes::{BufMut, Bytes, BytesMut};
 use std::time::Duration;
 
@@ -122,18 +122,20 @@
     scanned: usize,
     phase: Phase,
     keep: bool,
+    /// The request at hand is HTTP/1.0, whose sender knows no chunks.
+    old: bool,
 }
 
 impl Default for Connection {
     fn default() -> Connection {
-        Connection { buffer: BytesMut::new(), scanned: 0, phase: Phase::Head, keep: true }
+        Connection { buffer: BytesMut::new(), scanned: 0, phase: Phase::Head, keep: true, old: false }
     }
 }
 
 impl Connection {
     /// The buffer that bytes are to be read into.
     pub fn buffer(&mut self) -> &mut BytesMut {
-        roomy(&mut self.buffer)
+        roomy(&mut self.buffer, 4096)
     }
 
     /// Nothing of a request has come yet.
@@ -178,21 +180,21 @@
                 (Some(m), Some(t), Some(v), None) if !m.is_empty() => (m, t, v),
                 _ => return Err(Fault::Malformed),
             };
-            if !method.iter().all(u8::is_ascii_uppercase)
-                || !target.starts_with(b"/")
-                || !target.iter().all(u8::is_ascii_graphic)
-            {
+            if !method.iter().all(u8::is_ascii_uppercase) || !target.iter().all(u8::is_ascii_graphic) {
                 return Err(Fault::Malformed);
             }
+            let target = origin(target).ok_or(Fault::Malformed)?;
             let lasting = match version {
                 b"HTTP/1.1" => true,
                 b"HTTP/1.0" => headers.lists("connection", "keep-alive"),
                 _ => return Err(Fault::Malformed),
             };
+            self.old = version == b"HTTP/1.0";
             self.keep = lasting && !headers.lists("connection", "close");
-            let body = Body::framed(&headers, MAX_BODY)?.unwrap_or(Body::Length(0));
+            let body = Body::framed(&headers, MAX_BODY)?.unwrap_or(Body::none());
             let waits = headers.lists("expect", "100-continue") && self.buffer.is_empty();
-            let (method, target) = (line.slice_ref(method), line.slice_ref(target));
+            let method = line.slice_ref(method);
+            let target = if target == b"/" { Bytes::from_static(b"/") } else { line.slice_ref(target) };
             let request = Request { method, target, headers, body: Bytes::new() };
             self.phase = Phase::Body(Box::new((request, body)));
             if waits {
@@ -200,7 +202,11 @@
             }
         }
         if let Phase::Body(part) = &mut self.phase {
-            let Some(body) = part.1.take(&mut self.buffer, false, MAX_BODY)? else { return Ok(Step::More) };
+            let body = match part.1.collect(&mut self.buffer, false, MAX_BODY)? {
+                Collected::More => return Ok(Step::More),
+                Collected::Whole(body) => body,
+                Collected::Large(_) => return Err(Fault::BodyTooLong),
+            };
             let Phase::Body(part) = std::mem::replace(&mut self.phase, Phase::Owed) else {
                 return Ok(Step::More);
             };
@@ -221,4 +227,63 @@
         );
         head
     }
+
+    /// The head of an answer whose body is passed on as it comes, and how that is framed.
+    pub fn begin(&mut self, extra: &str, length: Option<usize>, close: bool) -> (Bytes, Coding) {
+        let coding = match length {
+            Some(_) => Coding::Plain,
+            None if self.old => Coding::UntilEnd,
+            None => Coding::Chunked,
+        };
+        self.keep &= !close && coding != Coding::UntilEnd && matches!(self.phase, Phase::Owed);
+        self.phase = if self.keep { Phase::Head } else { Phase::Closed };
+        let framing = match length {
+            Some(length) => format!("Content-Length: {length}\r\n"),
+            None if coding == Coding::Chunked => "Transfer-Encoding: chunked\r\n".to_owned(),
+            None => String::new(),
+        };
+        let closing = if self.keep { "" } else { "Connection: close\r\n" };
+        (Bytes::from(format!("HTTP/1.1 200 OK\r\n{extra}{closing}{framing}\r\n")), coding)
+    }
+}
+
+/// How a body that is passed on as it comes is framed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Coding {
+    /// Its length is known.
+    Plain,
+    /// In chunks.
+    Chunked,
+    /// Its connection's end ends it.
+    UntilEnd,
+}
+
+impl Coding {
+    /// What goes before and behind a piece.
+    pub fn round(self, piece: usize) -> (Bytes, &'static [u8]) {
+        match self {
+            Coding::Chunked => (Bytes::from(format!("{piece:x}\r\n")), b"\r\n"),
+            _ => (Bytes::new(), b""),
+        }
+    }
+
+    /// What goes behind the last piece.
+    pub fn end(self) -> &'static [u8] {
+        if self == Coding::Chunked { b"0\r\n\r\n" } else { b"" }
+    }
+}
+
+/// The path and query of a target, which may come with scheme and host before them.
+fn origin(target: &[u8]) -> Option<&[u8]> {
+    if target.starts_with(b"/") {
+        return Some(target);
+    }
+    let scheme = target.get(..7).filter(|scheme| scheme.eq_ignore_ascii_case(b"http://"))?;
+    let rest = &target[scheme.len()..];
+    let path = rest.iter().position(|&b| b == b'/');
+    let host = &rest[..path.unwrap_or(rest.len())];
+    if host.is_empty() || host.iter().any(|b| b"?#@".contains(b)) {
+        return None;
+    }
+    Some(path.map_or(&b"/"[..], |at| &rest[at..]))
 }
--- a/crates/sidecar/src/probe.rs
+++ b/crates/sidecar/src/probe.rs
@@ -1,7 +1,7 @@
 //! Probes: what a backend server says of its load.
 
 use crate::counters::count;
-use crate::exchange::{Exchanger, Lack, Stage, without_answer};
+use crate::exchange::{Exchanger, Lack, Reply, Stage, without_answer};
 use crate::http::client;
 use crate::session::Probed;
 use cometcroft::{Outcome, Report, UpstreamId};
@@ -26,7 +26,7 @@
     let probed =
         match platform.timeout_at(ends, exchanger.run(to, message, ends, || stage.set(Stage::Written))).await
         {
-            Ok(Ok(answer)) => {
+            Ok(Ok(Reply { answer, .. })) => {
                 let text = if answer.body.is_empty() { answer.report() } else { Some(&answer.body) };
                 let report = text.and_then(|text| report(text, fields));
                 (if answer.status == 200 { Outcome::Ok } else { Outcome::Error }, report)
--- a/crates/sidecar/tests/http.rs
+++ b/crates/sidecar/tests/http.rs
@@ -173,6 +173,44 @@
     }
 }
 
+#[test]
+fn every_form_of_a_request_is_read_byte_by_byte() {
+    for (text, target, body) in [
+        ("GET http://h:80/plan/1?q HTTP/1.1\r\nHost: h\r\n\r\n", "/plan/1?q", ""),
+        ("GET HTTP://h HTTP/1.1\r\nHost: h\r\n\r\n", "/", ""),
+        ("\r\n\r\nGET /a HTTP/1.1\r\nhOsT:h\r\nX:\t y \r\n\r\n", "/a", ""),
+        (
+            "POST /a HTTP/1.1\r\ntransfer-encoding: Chunked\r\n\r\n2;e=\"v\"\r\nhi\r\n003 ;x\r\nyou\r\n0\r\nT: u\r\n\r\n",
+            "/a",
+            "hiyou",
+        ),
+        ("POST /a HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\nhi", "/a", "hi"),
+    ] {
+        let mut machine = Connection::default();
+        let mut came = None;
+        for byte in text.bytes() {
+            machine.buffer().extend_from_slice(&[byte]);
+            match machine.step() {
+                Step::Request(request) => came = Some(request),
+                Step::More | Step::Continue(_) => {}
+                Step::Reject(status) => panic!("{text}: {status:?}"),
+            }
+        }
+        let request = came.expect(text);
+        assert_eq!((&request.target[..], &request.body[..]), (target.as_bytes(), body.as_bytes()));
+    }
+    for bad in [
+        "GET ftp://h/ HTTP/1.1\r\n\r\n",
+        "GET http:/// HTTP/1.1\r\n\r\n",
+        "GET http://a@b/ HTTP/1.1\r\n\r\n",
+        "GET a HTTP/1.1\r\n\r\n",
+    ] {
+        let mut machine = Connection::default();
+        machine.buffer().extend_from_slice(bad.as_bytes());
+        assert!(matches!(machine.step(), Step::Reject(Status::BadRequest)), "{bad}");
+    }
+}
+
 #[test]
 fn an_endless_head_is_refused() {
     let mut machine = Connection::default();
--- a/crates/sidecar/tests/loopback.rs
+++ b/crates/sidecar/tests/loopback.rs
@@ -666,3 +666,96 @@
         assert_eq!(figures["operations"]["plan"]["faulted"], 1);
     });
 }
+
+/// A message of this much body, in pieces, or as much of it as `cut` leaves.
+fn long(head: &str, chunked: bool, length: usize, cut: usize) -> Vec<u8> {
+    let body: Vec<u8> = (0..length).map(|at| b'a' + (at % 23) as u8).collect();
+    let mut out = head.as_bytes().to_vec();
+    if chunked {
+        out.extend(b"Transfer-Encoding: chunked\r\n\r\n");
+        for piece in body.chunks(7001) {
+            out.extend(format!("{:X};x=\"y\"\r\n", piece.len()).as_bytes());
+            out.extend(piece);
+            out.extend(b"\r\n");
+        }
+        out.extend(b"0\r\nTrailer: x\r\n\r\n");
+    } else {
+        out.extend(format!("Content-Length: {length}\r\n\r\n").as_bytes());
+        out.extend(body);
+    }
+    out.truncate(cut);
+    out
+}
+
+/// What a client gets of an answer until its connection ends: its body, and whether that is whole.
+fn body_of(text: &[u8]) -> (Vec<u8>, bool) {
+    let mut exchange = cometcroft_sidecar::http::client::Exchange::new(64 << 20);
+    exchange.buffer().extend_from_slice(text);
+    match exchange.step(false) {
+        Ok(Some(answer)) => (answer.body.to_vec(), true),
+        _ => (Vec::new(), false),
+    }
+}
+
+#[test]
+fn a_large_answer_is_relayed_whole_or_visibly_cut_wherever_it_breaks() {
+    story(|sidecar| async move {
+        const LENGTH: usize = 300_000;
+        for chunked in [false, true] {
+            let all = long("HTTP/1.1 200 OK\r\nConnection: close\r\n", chunked, LENGTH, usize::MAX);
+            let head = all.len() - LENGTH;
+            let cuts = [
+                0,
+                9,
+                head + 1,
+                head + 64 * 1024 + 90,
+                all.len() / 2,
+                all.len() - 7,
+                all.len() - 1,
+                all.len(),
+            ];
+            for cut in cuts {
+                let mut client = Peer::to(&sidecar).await;
+                // One that must not run twice, so that each cut is one attempt.
+                client.say(&BOOK.replace("\r\n\r\n", "\r\nConnection: close\r\n\r\n")).await;
+                let mut server = next(&sidecar.backend).await;
+                server.hear().await;
+                server.0.write_all(&all[..cut]).await.expect("it reads");
+                drop(server);
+                let mut text = Vec::new();
+                client.0.read_to_end(&mut text).await.expect("an end");
+                let (body, whole) = body_of(&text);
+                let begun = text.starts_with(b"HTTP/1.1 200");
+                assert_eq!(begun && whole, cut == all.len(), "{chunked} {cut}");
+                assert!(begun || text.starts_with(b"HTTP/1.1 502"), "{chunked} {cut}");
+                assert!(
+                    !begun
+                        || !whole
+                        || body.len() == LENGTH && body[LENGTH - 1] == b'a' + ((LENGTH - 1) % 23) as u8
+                );
+            }
+        }
+        let tally = stats(&sidecar).await["operations"]["book"].clone();
+        assert_eq!((&tally["fulfilled"], &tally["faulted"]), (&2.into(), &14.into()));
+    });
+}
+
+#[test]
+fn an_answer_that_its_connection_ends_counts_where_its_head_says_so() {
+    story(|sidecar| async move {
+        for (head, served) in [
+            ("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", true),
+            ("HTTP/1.0 200 OK\r\n\r\n", true),
+            ("HTTP/1.1 200 OK\r\n\r\n", false),
+        ] {
+            let mut client = Peer::to(&sidecar).await;
+            client.say(BOOK).await;
+            let mut server = next(&sidecar.backend).await;
+            server.hear().await;
+            server.say(&format!("{head}all of it")).await;
+            drop(server);
+            let answer = client.hear().await;
+            assert_eq!(answer.starts_with("HTTP/1.1 200") && answer.ends_with("all of it"), served, "{head}");
+        }
+    });
+}
