Give a slow client's small body its time by progress, as a large one's

Cause: a body up to 64 KiB shared the 2.6 s of its head (frontend.rs, read: one patience for both), so a head of 2 s and 60 kB at 64 kB/s ended as 408. Change: once a head has come, its body may go on as long as bytes come (2.5 s a pause, 16 kB/s on the whole). Measured by the new test: 3.5 s of head and body were a 408, and are served now.

--- a/crates/sidecar/src/frontend.rs
+++ b/crates/sidecar/src/frontend.rs
@@ -167,6 +167,7 @@
         let (mut since, mut first) = (connected, true);
         // When the last bytes came: the time of a request counts from its last byte.
         let mut last = connected;
+        let mut patience = Patience::new(connected);
         // Places that lie evenly, however many there are: multiples of the golden ratio.
         let place = (self.turn.replace(self.turn.get() + 1) as f64 * 0.618_033_988_749_895).fract();
         while !machine.closed() {
@@ -174,12 +175,21 @@
                 Step::More => {
                     let idle = machine.idle();
                     let owes = if first { Some(connected) } else { (!idle).then_some(since) };
-                    match self.read(&mut stream, &mut machine, owes, place).await? {
-                        Read::Bytes => {
+                    let now = self.platform.now();
+                    // A head has its time; a body has as long as it goes on coming.
+                    let body = machine.within();
+                    let until = if body { patience.wait(now) } else { owes.unwrap_or(now) + UNREADY };
+                    match self.read(&mut stream, &mut machine, owes, until, place).await? {
+                        Read::Bytes(bytes) => {
                             last = self.platform.now();
                             if idle {
                                 since = last;
                             }
+                            if body {
+                                patience.came(last, bytes);
+                            } else {
+                                patience = Patience::new(last);
+                            }
                         }
                         Read::Ended => return Ok(()),
                         Read::Late if idle => return Ok(()),
@@ -219,19 +229,19 @@
         stream: &mut StreamOf<C>,
         machine: &mut Connection,
         owes: Option<Instant>,
+        until: Instant,
         place: f64,
     ) -> io::Result<Read> {
         let idle = machine.idle();
         let turn = self.turn.replace(self.turn.get() + 1);
         let wake = Rc::new(Notify::new());
         self.waiting.borrow_mut().insert(turn, Waiting { wake: wake.clone(), owes });
-        let until = owes.unwrap_or_else(|| self.platform.now()) + UNREADY;
         // Danger: a connection that was let in just now brings a request that nobody has read.
         let grace = owes.map(|since| since + GRACE);
         let retired = |machine: &Machine| machine.idle_until(place).map(|at| grace.map_or(at, |g| at.max(g)));
         let read = tokio::select! {
             biased;
-            read = stream.read_buf(machine.buffer()) => read.map(|n| if n > 0 { Read::Bytes } else { Read::Ended }),
+            read = stream.read_buf(machine.buffer()) => read.map(|n| if n > 0 { Read::Bytes(n) } else { Read::Ended }),
             () = wake.notified() => Ok(Read::Ended),
             () = self.life.until(retired), if idle => Ok(Read::Ended),
             () = self.platform.sleep_until(until), if owes.is_some() => {
@@ -540,7 +550,8 @@
 
 /// How a read of a client connection ended.
 enum Read {
-    Bytes,
+    /// So many bytes came.
+    Bytes(usize),
     /// By the client's end, or as room is needed, or on the way out.
     Ended,
     /// A request was owed and did not come in time.
--- a/crates/sidecar/src/http/server.rs
+++ b/crates/sidecar/src/http/server.rs
@@ -157,6 +157,11 @@
         matches!(self.phase, Phase::Head) && self.buffer.is_empty()
     }
 
+    /// A head has come, and its body is not whole.
+    pub fn within(&self) -> bool {
+        matches!(self.phase, Phase::Body(_))
+    }
+
     /// Bytes lie unread that belong to a later request.
     pub fn ahead(&self) -> bool {
         !self.buffer.is_empty()
--- a/crates/sidecar/tests/loopback.rs
+++ b/crates/sidecar/tests/loopback.rs
@@ -832,3 +832,27 @@
     let at = at.unwrap_or_default();
     (String::from_utf8_lossy(&text[..at]).into_owned(), text[at..].to_vec())
 }
+
+#[test]
+fn a_slow_client_has_its_time_for_a_head_and_then_for_a_body_that_goes_on_coming() {
+    story(|sidecar| async move {
+        let pause = |ms| Tokio.sleep(std::time::Duration::from_millis(ms));
+        let mut client = Peer::to(&sidecar).await;
+        client.say("POST /book HTTP/1.1\r\nX-Call-Id: 2\r\n").await;
+        pause(2000).await;
+        client.say("X-Budget: 300m\r\nContent-Length: 3\r\n\r\n").await;
+        for byte in ["a", "b", "c"] {
+            pause(500).await;
+            client.say(byte).await;
+        }
+        // Its budget runs from its last byte.
+        let mut server = next(&sidecar.backend).await;
+        assert!(server.hear().await.ends_with("\r\n\r\nabc"));
+        server.say("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await;
+        assert!(client.hear().await.starts_with("HTTP/1.1 200"));
+        let began = Tokio.now();
+        client.say("POST /book HTTP/1.1\r\nContent-Length: 3\r\n\r\na").await;
+        assert!(client.hear().await.starts_with("HTTP/1.1 408"), "one that stands still is ended");
+        assert!(Tokio.since(began) < std::time::Duration::from_secs(3));
+    });
+}
