--- a/crates/emulator/src/day.rs
+++ b/crates/emulator/src/day.rs
@@ -372,10 +372,11 @@
             let factor = section.factor.map_or(1.0, |f| span(dice, f));
             let delay = section.delay.map_or(0, |t| time(dice, t));
             let byte = section.byte.map_or(0, |b| whole(dice, b));
-            let of_sidecar = matches!(section.kind, HotCaller | SidecarRestart | SidecarKill | Descriptors);
+            let of_sidecar =
+                matches!(section.kind, HotCaller | SidecarRestart | SidecarDrain | SidecarKill | Descriptors);
             let nowhere = matches!(
                 section.kind,
-                Burst | ReportLate | DiscoveryStale | DiscoveryDown | DiscoveryMove | BadFile
+                Burst | ReportLate | DiscoveryStale | DiscoveryDown | DiscoveryMove | BadFile | Retune
             );
             let mut targets = Vec::new();
             if nowhere {
--- a/crates/emulator/src/emulator/faults.rs
+++ b/crates/emulator/src/emulator/faults.rs
@@ -4,6 +4,8 @@
 use crate::day::Fault;
 use crate::kernel::{MS, SEC};
 use crate::scenario::FaultKind;
+use cometcroft_sidecar::lifecycle::Machine;
+use serde_json::{Value, json};
 
 impl Emulator {
     pub(super) fn fault(&mut self, n: usize, begins: bool) {
@@ -31,6 +33,13 @@
                     self.hup("{\"discovery\":", i);
                 }
             }
+            (Retune, ..) => {
+                for i in 0..self.sidecars.len() {
+                    let text = self.config(i);
+                    let text = if begins { retuned(&text).unwrap_or(text) } else { text };
+                    self.hup(&text, i);
+                }
+            }
             (Slow, Some(i), _) => {
                 self.sites[i].node.turn(now);
                 self.sites[i].node.slow = if begins { fault.factor } else { 1.0 };
@@ -90,6 +99,18 @@
                     self.kernel.world_at(now + 300 * MS, Event::Believe(i, false));
                 }
             }
+            (SidecarDrain, _, Some(i)) => {
+                if let Some(process) = &self.sidecars[i].process {
+                    if begins {
+                        process.life.tell(Machine::drain);
+                        // The front asks every 0.1 s, and goes on with what it has begun for 0.2 s.
+                        self.kernel.world_at(now + 300 * MS, Event::Believe(i, false));
+                    } else {
+                        process.life.tell(|machine, _| machine.undrain());
+                        self.kernel.world_at(now + 100 * MS, Event::Front(i));
+                    }
+                }
+            }
             (SidecarKill, _, Some(i)) => self.kill(i, false),
             (Descriptors, _, Some(i)) => {
                 if let Some(process) = &self.sidecars[i].process {
@@ -127,3 +148,20 @@
         self.node_turn_due(new);
     }
 }
+
+/// A configuration with one attempt fewer, aims of twice the length, and a class that nobody calls yet.
+fn retuned(text: &str) -> Option<String> {
+    let mut config: Value = serde_json::from_str(text).ok()?;
+    let settings = config.get_mut("settings")?;
+    let attempts = settings.pointer("/policy-limits/max-attempts")?.as_u64()?;
+    *settings.pointer_mut("/policy-limits/max-attempts")? = json!(attempts.saturating_sub(1).max(1));
+    let classes = settings.get_mut("request-classes")?.as_array_mut()?;
+    for class in classes.iter_mut() {
+        let aim = class.get("slo-ns")?.as_u64()?;
+        *class.get_mut("slo-ns")? = json!(aim * 2);
+    }
+    let mut new = classes.first()?.clone();
+    *new.get_mut("name")? = json!("new");
+    classes.push(new);
+    Some(config.to_string())
+}
--- a/crates/emulator/src/scenario.rs
+++ b/crates/emulator/src/scenario.rs
@@ -486,6 +486,10 @@
     Refuse,
     /// A sidecar gets SIGTERM, is killed when its time is up, and starts again.
     SidecarRestart,
+    /// Operators send a sidecar's clients away for a time, and call them back.
+    SidecarDrain,
+    /// Every sidecar's file brings other settings for a time: one attempt fewer, longer aims, a class more.
+    Retune,
     /// A sidecar is killed outright and starts again.
     SidecarKill,
     /// A sidecar's descriptors run out for a time.
@@ -615,6 +619,7 @@
     "drip",
     "refuse",
     "restart",
+    "operators",
     "descriptors",
     "bad-clients",
     "cold-starts",
@@ -811,8 +816,10 @@
             wants("factor", fault.factor.is_some(), factor)?;
             wants("delay", fault.delay.is_some(), matches!(kind, ReportLate | DiscoveryStale))?;
             wants("byte", fault.byte.is_some(), matches!(kind, CutAnswer | ResetAnswer))?;
-            let nowhere =
-                matches!(kind, Burst | ReportLate | DiscoveryStale | DiscoveryDown | DiscoveryMove | BadFile);
+            let nowhere = matches!(
+                kind,
+                Burst | ReportLate | DiscoveryStale | DiscoveryDown | DiscoveryMove | BadFile | Retune
+            );
             if nowhere {
                 wants("target", fault.target.is_some(), false)?;
                 wants("share", fault.share.is_some(), false)?;
