--- a/crates/sidecar/src/figures.rs
+++ b/crates/sidecar/src/figures.rs
@@ -6,7 +6,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 
-/// Names of classes that are kept at most; of classes that are gone, the first to go make room.
+/// Names of classes that are kept at most; of classes that are gone, those gone longest make room.
 const NAMES: usize = 256;
 
 /// What came of the requests of one class, since the process started.
@@ -44,7 +44,9 @@
 /// The tallies of all classes that there were, and the requests that are open.
 #[derive(Debug, Default)]
 pub struct Figures {
-    tallies: RefCell<BTreeMap<String, Tally>>,
+    /// With the turn in which each class was last in force.
+    tallies: RefCell<BTreeMap<String, (u64, Tally)>>,
+    turn: Cell<u64>,
     /// The names of the classes, by number.
     names: RefCell<Vec<String>>,
     open: Cell<u64>,
@@ -55,13 +57,15 @@
     /// The classes are called so from now on. What was counted under a name stays.
     pub fn name(&self, names: &[String]) {
         let mut tallies = self.tallies.borrow_mut();
+        let turn = self.turn.get() + 1;
+        self.turn.set(turn);
         for name in names {
-            tallies.entry(name.clone()).or_default();
+            tallies.entry(name.clone()).or_default().0 = turn;
         }
         // Danger: files that bring ever new names must not fill the memory.
         while tallies.len() > NAMES.max(names.len()) {
-            let Some(gone) = tallies.keys().find(|name| !names.contains(name)).cloned() else { break };
-            tallies.remove(&gone);
+            let gone = tallies.iter().min_by_key(|(_, (turn, _))| *turn).map(|(name, _)| name.clone());
+            gone.and_then(|gone| tallies.remove(&gone));
         }
         *self.names.borrow_mut() = names.to_vec();
     }
@@ -70,7 +74,7 @@
     pub fn count(&self, class: ClassId, what: impl FnOnce(&mut Tally) -> &mut u64) {
         let names = self.names.borrow();
         let mut tallies = self.tallies.borrow_mut();
-        if let Some(tally) = names.get(class.0).and_then(|name| tallies.get_mut(name)) {
+        if let Some((_, tally)) = names.get(class.0).and_then(|name| tallies.get_mut(name)) {
             let counted = what(tally);
             *counted = counted.saturating_add(1);
         }
@@ -84,7 +88,7 @@
 
     /// The tallies, by class.
     pub fn tallies(&self) -> BTreeMap<String, Tally> {
-        self.tallies.borrow().clone()
+        self.tallies.borrow().iter().map(|(name, (_, tally))| (name.clone(), *tally)).collect()
     }
 
     /// Dispatches written whole to a backend server, of all classes that there ever were.
--- a/crates/sidecar/src/lifecycle.rs
+++ b/crates/sidecar/src/lifecycle.rs
@@ -81,11 +81,6 @@
         self.term.is_some()
     }
 
-    /// Clients are being sent away.
-    pub fn draining(&self) -> bool {
-        self.drain.is_some()
-    }
-
     /// Clients are wanted: what `/up` and readiness say.
     pub fn wanted(&self, now: Instant) -> bool {
         let told = !self.shared || self.fresh || now >= self.born + UNTOLD;
--- a/crates/sidecar/tests/parts.rs
+++ b/crates/sidecar/tests/parts.rs
@@ -11,6 +11,7 @@
 use cometcroft_sidecar::counters::Counters;
 use cometcroft_sidecar::directory::Directory;
 use cometcroft_sidecar::exchange::{Lack, Stage, outcome, without_answer};
+use cometcroft_sidecar::figures::Figures;
 use cometcroft_sidecar::frontend::time_left;
 use cometcroft_sidecar::http::client::Exchange;
 use cometcroft_sidecar::lifecycle::Machine;
@@ -456,3 +457,16 @@
         prop_assert_eq!(budget.taken(), 0);
     }
 }
+
+#[test]
+fn what_was_counted_outlives_its_class_until_newer_ones_need_the_room() {
+    let figures = Figures::default();
+    for n in 0..1000 {
+        figures.name(&["zz".to_owned(), format!("c{n}")]);
+        figures.relay(ClassId(0));
+        figures.relay(ClassId(1));
+    }
+    let tallies = figures.tallies();
+    assert_eq!((tallies.len(), tallies["zz"].relayed, figures.relayed()), (256, 1000, 2000));
+    assert!(tallies.contains_key("c745") && !tallies.contains_key("c744"), "those gone longest made room");
+}
