Mend what reading the bulk code again found: framing, SIGTERM's bound, tiny pieces

Cause, by reading: Upload::framing was asked for the head and again for the pieces, with a write awaited in between, so a body of unknown length that became whole just then went out raw under a chunked head; opening() added the time of an upload after SIGTERM's bound, past SIGKILL; single bytes were booked as one each and cost some forty in memory. Change: the framing is what was known when it began; the bound comes last; each piece costs 64 bytes more. Beside it: one function concludes an answer (answer and begin had a copy each), longest_deadline() instead of its twin in lib.rs, Rest made plainly. Measured: a new test fails on the old code in both points it holds (framing, single bytes held); tests and lints pass.

--- a/crates/sidecar/src/exchange.rs
+++ b/crates/sidecar/src/exchange.rs
@@ -78,7 +78,8 @@
 }
 
 impl<P: Platform> Exchanger<P> {
-    /// One request and its answer; `written` once its last byte is. Whatever ends it early drops the connection and so closes it.
+    /// One request and its answer; `written` once its last byte is. Whatever ends it early drops the connection and so
+    /// closes it.
     pub async fn run(
         &self,
         to: UpstreamId,
@@ -114,9 +115,12 @@
             return Ok(Reply { answer, rest: Rest::default() });
         }
         // Only an answer that is passed on is read to its end.
-        let rest = (bulk && answer.status == 200)
-            .then(|| Box::new(Remainder { pool: self.pool.clone(), to, lease: Some(lease), exchange }));
-        Ok(Reply { answer, rest: Rest(Rc::new(RefCell::new(rest.map(|rest| rest as Box<dyn Pieces>)))) })
+        let rest = Rest::default();
+        if bulk && answer.status == 200 {
+            let pool = self.pool.clone();
+            rest.0.replace(Some(Box::new(Remainder { pool, to, lease: Some(lease), exchange })));
+        }
+        Ok(Reply { answer, rest })
     }
 }
 
--- a/crates/sidecar/src/frontend.rs
+++ b/crates/sidecar/src/frontend.rs
@@ -458,8 +458,9 @@
         let (left, due) = time_left(request.budget()?, self.platform.since(since));
         let now = self.platform.now();
         let last = self.life.ask(Machine::due).map(|last| last.saturating_duration_since(now));
-        let (left, due) = (left.min(last.unwrap_or(left)), now + due.min(last.unwrap_or(due)));
+        // The body of a large request has its time before that; SIGKILL waits for neither.
         let (left, due) = (left + more, due + more);
+        let (left, due) = (left.min(last.unwrap_or(left)), now + due.min(last.unwrap_or(due)));
         let payload = Rc::new(Payload { request, class, upload });
         Ok((Opening { class, tenant: tenant.map(TenantId), left, repeat, payload }, due))
     }
--- a/crates/sidecar/src/http/server.rs
+++ b/crates/sidecar/src/http/server.rs
@@ -266,10 +266,7 @@
 
     /// The head of the answer that is owed; `close` ends the connection with it.
     pub fn answer(&mut self, status: Status, extra: &str, length: usize, close: bool) -> BytesMut {
-        self.cut = matches!(self.phase, Phase::Upload(_));
-        self.keep &= !close && matches!(self.phase, Phase::Owed);
-        self.phase = if self.keep { Phase::Head } else { Phase::Closed };
-        let closing = if self.keep { "" } else { "Connection: close\r\n" };
+        let closing = self.conclude(close);
         let mut head = BytesMut::with_capacity(160 + length);
         let line = status.line();
         head.put_slice(
@@ -278,6 +275,14 @@
         head
     }
 
+    /// The request at hand is answered; what its answer says of the connection.
+    fn conclude(&mut self, close: bool) -> &'static str {
+        self.cut = matches!(self.phase, Phase::Upload(_));
+        self.keep &= !close && matches!(self.phase, Phase::Owed);
+        self.phase = if self.keep { Phase::Head } else { Phase::Closed };
+        if self.keep { "" } else { "Connection: close\r\n" }
+    }
+
     /// The head of an answer whose body is passed on as it comes, and how that is framed.
     pub fn begin(&mut self, extra: &str, length: Option<usize>, close: bool) -> (Bytes, Coding) {
         let coding = match length {
@@ -285,14 +290,12 @@
             None if self.old => Coding::UntilEnd,
             None => Coding::Chunked,
         };
-        self.keep &= !close && coding != Coding::UntilEnd && matches!(self.phase, Phase::Owed);
-        self.phase = if self.keep { Phase::Head } else { Phase::Closed };
+        let closing = self.conclude(close || coding == Coding::UntilEnd);
         let framing = match length {
             Some(length) => format!("Content-Length: {length}\r\n"),
             None if coding == Coding::Chunked => "Transfer-Encoding: chunked\r\n".to_owned(),
             None => String::new(),
         };
-        let closing = if self.keep { "" } else { "Connection: close\r\n" };
         (Bytes::from(format!("HTTP/1.1 200 OK\r\n{extra}{closing}{framing}\r\n")), coding)
     }
 }
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -124,10 +124,10 @@
     let tuned = frontend.clone();
     let tune = platform.spawn(async move {
         loop {
-            let Config { settings, net, fields: named, .. } = control.next().await;
+            let config = control.next().await;
             // One step: nothing is awaited between the first and the last of these.
-            let longest = settings.classes.iter().map(|class| class.deadline).max().unwrap_or_default();
-            life.tell(|machine, _| machine.longest(longest));
+            life.tell(|machine, _| machine.longest(config.longest_deadline()));
+            let Config { settings, net, fields: named, .. } = config;
             directory.retune(net.zones, settings.rules.drain_grace);
             pool.retune(net.idle, net.connect_timeout);
             fields.replace(named.into());
--- a/crates/sidecar/src/upload.rs
+++ b/crates/sidecar/src/upload.rs
@@ -13,6 +13,9 @@
 pub const GATHERED: usize = 1 << 20;
 /// So much of it is held once it is on its way.
 const WINDOW: usize = 64 * 1024;
+/// What a piece costs beside its bytes. Danger: a client that sends single bytes would be held at forty times their
+/// number.
+const PIECE: usize = 64;
 /// No client takes more than so long without sending anything, ...
 const PAUSE: Duration = Duration::from_millis(2500);
 /// ... and on the whole none sends fewer bytes a second. Danger: one byte now and then would hold a place for ever.
@@ -89,7 +92,7 @@
 
     /// A piece has come.
     pub fn push(&self, piece: Bytes) {
-        self.held.set(self.held.get() + piece.len());
+        self.held.set(self.held.get() + piece.len() + PIECE);
         self.came.set(self.came.get() + piece.len());
         self.pieces.borrow_mut().push_back(piece);
         self.arrived.notify_one();
@@ -144,14 +147,9 @@
         self.spent.get()
     }
 
-    /// More may be read.
-    pub fn has_room(&self) -> bool {
-        self.held.get() < WINDOW
-    }
-
     /// Waits until more may be read.
     pub async fn room(&self) {
-        while !self.has_room() {
+        while self.held.get() >= WINDOW {
             self.drained.notified().await;
         }
     }
@@ -166,7 +164,7 @@
             let next = self.pieces.borrow_mut().pop_front();
             if let Some(piece) = next {
                 self.spent.set(true);
-                self.held.set(self.held.get() - piece.len());
+                self.held.set(self.held.get() - piece.len() - PIECE);
                 self.drained.notify_one();
                 return Some(piece);
             }
@@ -187,9 +185,10 @@
         Duration::from_secs_f64((rest as f64 / rate).min(60.0)) + Duration::from_millis(500)
     }
 
-    /// What it is to be framed by, on its way on: its length, if it is known by now.
+    /// What it is framed by on its way on: its length, if that was known when it began. Danger: it may become whole
+    /// between its head and its first piece; what the head said stands.
     pub fn framing(&self) -> Option<usize> {
-        self.length.or_else(|| self.whole.get().then(|| self.came.get()))
+        self.length.or_else(|| self.kept.get().then(|| self.came.get()))
     }
 }
 
--- a/crates/sidecar/tests/parts.rs
+++ b/crates/sidecar/tests/parts.rs
@@ -470,3 +470,22 @@
     assert_eq!((tallies.len(), tallies["zz"].relayed, figures.relayed()), (256, 1000, 2000));
     assert!(tallies.contains_key("c745") && !tallies.contains_key("c744"), "those gone longest made room");
 }
+
+#[test]
+fn what_the_head_said_of_a_large_body_stands_and_small_pieces_have_their_price() {
+    let budget = Budget::new(8 << 20);
+    let (open, whole) = (Upload::new(budget.clone(), None), Upload::new(budget.clone(), None));
+    whole.push(Bytes::from_static(b"abc"));
+    whole.finish();
+    for upload in [&open, &whole] {
+        upload.begin();
+    }
+    assert_eq!((open.framing(), whole.framing()), (None, Some(3)));
+    open.push(Bytes::from_static(b"abc"));
+    open.finish();
+    assert_eq!(open.framing(), None, "in chunks, as its head said, though its length is known by now");
+    let tiny = Upload::new(budget, None);
+    let pieces =
+        (0..GATHERED).take_while(|_| tiny.gathers()).map(|_| tiny.push(Bytes::from_static(b"x"))).count();
+    assert!(pieces <= GATHERED / 64, "{pieces} single bytes are held");
+}
