Accept for clients and operators by one function

Need: door.rs had a copy of the frontend's accept with its answer to exhausted descriptors. Change: frontend::admit serves both; nothing else moves. Checked: the other pairs that look alike are tests of like shape and stay. Measured: tests and lints pass.

--- a/crates/sidecar/src/door.rs
+++ b/crates/sidecar/src/door.rs
@@ -4,11 +4,11 @@
 use crate::counters::{Counters, count};
 use crate::directory::Directory;
 use crate::figures::Report;
-use crate::frontend::{bid_farewell, refuse};
+use crate::frontend::{admit, bid_farewell, refuse};
 use crate::http::server::{Connection, Request, Status, Step};
 use crate::lifecycle::{Life, Machine};
 use crate::session::{Carrier, Host};
-use cometcroft_platform::{Listener, Platform, Stream};
+use cometcroft_platform::{Platform, Stream};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::io;
@@ -95,21 +95,14 @@
                 }
                 let _ = platform.timeout(Duration::from_millis(10), self.left.notified()).await;
             }
-            match listener.accept().await {
-                Ok(stream) => {
-                    let door = self.clone();
-                    self.open.set(self.open.get() + 1);
-                    platform.detach(async move {
-                        let _ = door.serve(stream).await;
-                        door.open.set(door.open.get() - 1);
-                        door.left.notify_one();
-                    });
-                }
-                Err(_) => {
-                    count(&self.counters.accept_failures);
-                    platform.sleep(Duration::from_millis(5)).await;
-                }
-            }
+            let stream = admit(&platform, &listener, &self.counters).await;
+            let door = self.clone();
+            self.open.set(self.open.get() + 1);
+            platform.detach(async move {
+                let _ = door.serve(stream).await;
+                door.open.set(door.open.get() - 1);
+                door.left.notify_one();
+            });
         }
     }
 
--- a/crates/sidecar/src/frontend.rs
+++ b/crates/sidecar/src/frontend.rs
@@ -127,22 +127,14 @@
                 // One that is woken may have just got its request and stay.
                 let _ = self.platform.timeout(Duration::from_millis(10), self.left.notified()).await;
             }
-            match listener.accept().await {
-                Ok(stream) => {
-                    count(&self.counters.frontend_connections);
-                    let seat = Seat::take(self);
-                    self.platform.detach(async move {
-                        // A client that breaks off has left; there is nobody to tell.
-                        let _ = seat.0.connection(stream).await;
-                        drop(seat);
-                    });
-                }
-                // Out of descriptors or a client that left at once: neither ends the service.
-                Err(_) => {
-                    count(&self.counters.accept_failures);
-                    self.platform.sleep(Duration::from_millis(5)).await;
-                }
-            }
+            let stream = admit(&self.platform, listener, &self.counters).await;
+            count(&self.counters.frontend_connections);
+            let seat = Seat::take(self);
+            self.platform.detach(async move {
+                // A client that breaks off has left; there is nobody to tell.
+                let _ = seat.0.connection(stream).await;
+                drop(seat);
+            });
         }
     }
 
@@ -503,6 +495,23 @@
     }
 }
 
+/// The next connection. Out of descriptors or a peer that left at once: neither ends the service.
+pub(crate) async fn admit<P: Platform>(
+    platform: &P,
+    listener: &P::Listener,
+    counters: &Counters,
+) -> P::Stream {
+    loop {
+        match listener.accept().await {
+            Ok(stream) => return stream,
+            Err(_) => {
+                count(&counters.accept_failures);
+                platform.sleep(Duration::from_millis(5)).await;
+            }
+        }
+    }
+}
+
 /// Ends a connection after its last answer. Danger: closing with unread bytes resets the connection and may take the
 /// answer along.
 pub(crate) async fn bid_farewell<P: Platform>(
