--- a/crates/emulator/src/emulator/mod.rs
+++ b/crates/emulator/src/emulator/mod.rs
@@ -221,6 +221,12 @@
     ends: Nanos,
 }
 
+impl Drop for Emulator {
+    fn drop(&mut self) {
+        self.kernel.shut();
+    }
+}
+
 fn at(a: u8, b: usize, port: u16) -> SocketAddr {
     SocketAddr::from((Ipv4Addr::new(127, a, (b >> 8) as u8, b as u8), port))
 }
@@ -297,6 +303,14 @@
         &self.judge.broken
     }
 
+    /// Tells whether anything of the day is still held once it has been dropped.
+    pub fn remains(&self) -> impl Fn() -> bool + use<> {
+        let (kernel, counters) = (Rc::downgrade(&self.kernel), self.sidecars.iter());
+        let counters: Vec<_> =
+            counters.filter_map(|s| s.process.as_ref()).map(|p| Rc::downgrade(&p.counters)).collect();
+        move || kernel.strong_count() > 0 || counters.iter().any(|held| held.strong_count() > 0)
+    }
+
     /// Steps so far.
     pub fn steps(&self) -> u64 {
         self.step
--- a/crates/emulator/src/kernel.rs
+++ b/crates/emulator/src/kernel.rs
@@ -330,6 +330,16 @@
         self.flush_net();
     }
 
+    /// Ends every process, so that nothing that ran here is left. Danger: a task holds its platform, which holds this
+    /// kernel, which holds the task: a kernel that is only let go stays for good, with all that its day was.
+    pub fn shut(self: &Rc<Self>) {
+        let all = self.net.borrow().processes();
+        for pid in all {
+            self.kill(pid);
+        }
+        self.due.borrow_mut().clear();
+    }
+
     /// A task that waits.
     pub fn sleep_until(self: &Rc<Self>, at: Nanos) -> Sleep<E> {
         Sleep { kernel: self.clone(), at, timer: None }
--- a/crates/emulator/src/net.rs
+++ b/crates/emulator/src/net.rs
@@ -286,6 +286,11 @@
         Pid(self.processes.len() as u32 - 1)
     }
 
+    /// All processes that live.
+    pub fn processes(&self) -> Vec<Pid> {
+        (0..self.processes.len() as u32).map(Pid).filter(|pid| self.alive(*pid)).collect()
+    }
+
     /// Whether a process lives.
     pub fn alive(&self, pid: Pid) -> bool {
         self.processes[pid.0 as usize].alive
--- a/crates/emulator/tests/hard_cases.rs
+++ b/crates/emulator/tests/hard_cases.rs
@@ -244,3 +244,16 @@
         assert_eq!(Scenario::parse(&scenario.text(), name).expect("what is written reads back"), scenario);
     }
 }
+
+#[test]
+fn a_day_that_is_dropped_gives_everything_back() {
+    for (name, text) in SHIPPED {
+        let scenario = Scenario::parse(text, name).expect("a shipped scenario").shortened(3.0);
+        let mut emulator = Emulator::new(Day::draw(&scenario, 5), None);
+        while emulator.now() < 2_000_000_000 && emulator.step().is_some() {}
+        let remains = emulator.remains();
+        assert!(remains(), "{name}: the day is being played");
+        drop(emulator);
+        assert!(!remains(), "{name}: something holds the kernel or a sidecar's counters");
+    }
+}
--- a/crates/lab/src/swarm.rs
+++ b/crates/lab/src/swarm.rs
@@ -51,6 +51,10 @@
                         stop.fetch_or(first, Ordering::Relaxed);
                     }
                     bar.inc(1);
+                    // Where nobody watches a terminal, a line now and then.
+                    if bar.is_hidden() && bar.position().is_multiple_of(each.clamp(100, 1000)) {
+                        eprintln!("{} of {all} days", bar.position());
+                    }
                 }
             });
         }
@@ -63,10 +67,18 @@
         println!("{} seed {}: {}", names[f.scenario], f.seed, f.what);
     }
     let played = bar.position();
-    println!("{played} days played, {} with a broken rule", failures.len());
+    let peak = peak_mb().map_or(String::new(), |mb| format!("; at most {mb} MB of memory"));
+    println!("{played} days played, {} with a broken rule{peak}", failures.len());
     Ok(failures.len())
 }
 
+/// The most memory that this process has held, where the system tells.
+fn peak_mb() -> Option<u64> {
+    let status = std::fs::read_to_string("/proc/self/status").ok()?;
+    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
+    line.trim().strip_suffix(" kB")?.trim().parse::<u64>().ok().map(|kb| kb / 1024)
+}
+
 fn play(scenario: &Scenario, seed: u64, defect: Option<Defect>) -> Option<String> {
     let played = catch_unwind(AssertUnwindSafe(|| {
         Emulator::new(Day::draw(scenario, seed), defect).play(true).broken.first().map(ToString::to_string)
