Membership as a machine without I/O, datagrams on Platform and the emulator, its driver

Files that people write are read by one small crate (tomlfile), which the scenarios now use, with the nearest known field. Nothing starts any of it yet: the daemon is as before.

--- a/crates/emulator/src/kernel.rs
+++ b/crates/emulator/src/kernel.rs
@@ -128,6 +128,8 @@
     tasks: RefCell<slab::Slab<Slot>>,
     rousers: RefCell<Vec<Arc<Rouse>>>,
     ready: Ready,
+    /// Processes that are stopped, and their tasks that would be ready.
+    stopped: RefCell<Vec<(Pid, Vec<usize>)>>,
     /// The network.
     pub net: RefCell<Net>,
     polls: Cell<u64>,
@@ -147,6 +149,7 @@
             tasks: RefCell::default(),
             rousers: RefCell::default(),
             ready: Ready::default(),
+            stopped: RefCell::default(),
             net: RefCell::new(net),
             polls: Cell::new(0),
         })
@@ -254,6 +257,9 @@
         loop {
             let next = self.ready.lock().unwrap_or_else(PoisonError::into_inner).pop_front();
             let Some(id) = next else { return };
+            if self.holds_back(id) {
+                continue;
+            }
             let (work, waker, aborted) = {
                 let mut tasks = self.tasks.borrow_mut();
                 if let Some(rouser) = self.rousers.borrow().get(id) {
@@ -280,6 +286,34 @@
         }
     }
 
+    /// Whether this task's process is stopped; then it is ready when the process goes on.
+    fn holds_back(&self, id: usize) -> bool {
+        let mut stopped = self.stopped.borrow_mut();
+        if stopped.is_empty() {
+            return false;
+        }
+        let Some(pid) = self.tasks.borrow().get(id).map(|slot| slot.pid) else { return false };
+        let held = stopped.iter_mut().find(|(stopped, _)| *stopped == pid);
+        held.map(|(_, held)| held.push(id)).is_some()
+    }
+
+    /// Stops a process: none of its tasks runs, its timers fire late and all at once, its sockets fill meanwhile.
+    pub fn stop(&self, pid: Pid) {
+        let mut stopped = self.stopped.borrow_mut();
+        if !stopped.iter().any(|(held, _)| *held == pid) {
+            stopped.push((pid, Vec::new()));
+        }
+    }
+
+    /// It goes on.
+    pub fn go_on(&self, pid: Pid) {
+        let mut stopped = self.stopped.borrow_mut();
+        if let Some(at) = stopped.iter().position(|(held, _)| *held == pid) {
+            let (_, held) = stopped.swap_remove(at);
+            self.ready.lock().unwrap_or_else(PoisonError::into_inner).extend(held);
+        }
+    }
+
     /// Begins a task of a process.
     pub fn spawn(self: &Rc<Self>, pid: Pid, work: impl Future<Output = ()> + 'static) -> Running {
         let (aborted, join) = (Rc::new(Cell::new(false)), Rc::new(Join::default()));
@@ -316,6 +350,7 @@
 
     /// Ends a process: its tasks are dropped, its connections reset, its listeners closed.
     pub fn kill(self: &Rc<Self>, pid: Pid) {
+        self.go_on(pid);
         self.with_net(|net| net.end_process(pid));
         let ended: Vec<Slot> = {
             let mut tasks = self.tasks.borrow_mut();
--- a/crates/emulator/src/net.rs
+++ b/crates/emulator/src/net.rs
@@ -55,6 +55,8 @@
     Reset(ConnId, Side, Nanos),
     /// A held message is looked at again.
     Again(Box<Arrival>),
+    /// A datagram: from, to, bytes.
+    Datagram(SocketAddr, SocketAddr, Bytes),
 }
 
 /// What the network tells a party of the world.
@@ -201,6 +203,35 @@
     most: usize,
 }
 
+/// What becomes of what one machine sends another, by direction. None of it is told to either.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Wire {
+    /// Nothing passes.
+    pub cut: bool,
+    /// The share of datagrams that is lost.
+    pub loss: f64,
+    /// The share that arrives twice.
+    pub copies: f64,
+    /// The share in which a byte is turned over.
+    pub turned: f64,
+    /// Each is this much later, ...
+    pub delay: Nanos,
+    /// ... and up to this much more, so that later ones overtake.
+    pub jitter: Nanos,
+}
+
+/// A socket for datagrams.
+#[derive(Debug)]
+struct Socket {
+    pid: Pid,
+    host: HostId,
+    queue: VecDeque<(SocketAddr, Bytes)>,
+    waker: Option<Waker>,
+}
+
+/// Datagrams that wait at a socket at most; more are lost.
+const WAITING: usize = 256;
+
 /// Times of the links, in nanoseconds.
 #[derive(Debug, Clone, Copy)]
 pub struct Links {
@@ -233,6 +264,10 @@
     links: Links,
     hosts: Vec<Host>,
     listeners: FxHashMap<SocketAddr, Listening>,
+    sockets: FxHashMap<SocketAddr, Socket>,
+    wires: FxHashMap<(HostId, HostId), Wire>,
+    /// Datagrams and bytes that were sent, and that arrived at a socket.
+    pub datagrams: [u64; 4],
     conns: FxHashMap<ConnId, Conn>,
     processes: Vec<Process>,
     next: u64,
@@ -252,6 +287,9 @@
             links,
             hosts: Vec::new(),
             listeners: FxHashMap::default(),
+            sockets: FxHashMap::default(),
+            wires: FxHashMap::default(),
+            datagrams: [0; 4],
             conns: FxHashMap::default(),
             processes: Vec::new(),
             next: 0,
@@ -352,6 +390,93 @@
         }
     }
 
+    /// From now on this is what becomes of what one machine sends another.
+    pub fn wire(&mut self, from: HostId, to: HostId, wire: Wire) {
+        if wire == Wire::default() {
+            self.wires.remove(&(from, to));
+        } else {
+            self.wires.insert((from, to), wire);
+        }
+    }
+
+    fn is_cut(&self, from: HostId, to: HostId) -> bool {
+        !self.wires.is_empty() && self.wires.get(&(from, to)).is_some_and(|wire| wire.cut)
+    }
+
+    /// Opens a socket for datagrams.
+    pub fn bind(&mut self, at: SocketAddr, pid: Pid, host: HostId) {
+        self.sockets.insert(at, Socket { pid, host, queue: VecDeque::new(), waker: None });
+    }
+
+    /// Closes it, if it is still this process'.
+    pub fn unbind(&mut self, at: SocketAddr, pid: Pid) {
+        if self.sockets.get(&at).is_some_and(|socket| socket.pid == pid) {
+            self.sockets.remove(&at);
+        }
+    }
+
+    /// Sends a datagram. Whether it arrives is told to nobody.
+    pub fn send_datagram(&mut self, from: SocketAddr, host: HostId, to: SocketAddr, bytes: &[u8]) {
+        self.datagrams[0] += 1;
+        self.datagrams[1] += bytes.len() as u64;
+        let Some(other) = self.sockets.get(&to).map(|socket| socket.host) else { return };
+        let wire = match self.wires.is_empty() {
+            true => Wire::default(),
+            false => self.wires.get(&(host, other)).copied().unwrap_or_default(),
+        };
+        if wire.cut || self.hosts[host.0 as usize].silent {
+            return;
+        }
+        let mut bytes = Bytes::copy_from_slice(bytes);
+        let mut copies = 1;
+        if wire != Wire::default() {
+            let dice = &mut self.hosts[host.0 as usize].dice;
+            if dice.chance(wire.loss) {
+                return;
+            }
+            copies += usize::from(dice.chance(wire.copies));
+            if dice.chance(wire.turned) {
+                let mut spoilt = bytes.to_vec();
+                let at = dice.below(spoilt.len().max(1));
+                if let Some(byte) = spoilt.get_mut(at) {
+                    *byte ^= 1 << dice.below(8);
+                }
+                bytes = spoilt.into();
+            }
+        }
+        for _ in 0..copies {
+            let late = match wire.jitter {
+                0 => wire.delay,
+                jitter => wire.delay + (jitter as f64 * self.hosts[host.0 as usize].dice.unit()) as Nanos,
+            };
+            let at = self.now + self.delay(host, other) + late;
+            self.push(at, Arrival::Datagram(from, to, bytes.clone()));
+        }
+    }
+
+    /// Takes the next datagram at a socket.
+    pub fn take_datagram(&mut self, at: SocketAddr, waker: &Waker) -> Option<(SocketAddr, Bytes)> {
+        let socket = self.sockets.get_mut(&at)?;
+        let next = socket.queue.pop_front();
+        if next.is_none() {
+            socket.waker = Some(waker.clone());
+        }
+        next
+    }
+
+    fn datagram(&mut self, from: SocketAddr, to: SocketAddr, bytes: Bytes) {
+        let Some(socket) = self.sockets.get_mut(&to) else { return };
+        if self.hosts[socket.host.0 as usize].silent || socket.queue.len() >= WAITING {
+            return;
+        }
+        self.datagrams[2] += 1;
+        self.datagrams[3] += bytes.len() as u64;
+        socket.queue.push_back((from, bytes));
+        if let Some(waker) = socket.waker.take() {
+            waker.wake();
+        }
+    }
+
     /// Begins to open a connection.
     pub fn connect(&mut self, owner: Owner, from: HostId, to: SocketAddr) -> io::Result<ConnId> {
         if let Owner::Process(pid) = owner {
@@ -388,7 +513,7 @@
             self.push(at, Arrival::Refused(id));
             return;
         };
-        if self.hosts[host.0 as usize].silent || full {
+        if self.hosts[host.0 as usize].silent || full || self.is_cut(from, host) || self.is_cut(host, from) {
             // Dropped without a word: it never comes up.
             if let Some(conn) = self.conns.get_mut(&id) {
                 conn.state = Progress::Lost;
@@ -453,6 +578,12 @@
     pub fn arrive(&mut self, arrival: Arrival) {
         let (id, side) = match &arrival {
             Arrival::Syn(id) => return self.syn(*id),
+            Arrival::Datagram(..) => {
+                if let Arrival::Datagram(from, to, bytes) = arrival {
+                    self.datagram(from, to, bytes);
+                }
+                return;
+            }
             Arrival::Up(id) | Arrival::Refused(id) => (*id, 0),
             Arrival::Data(id, side, ..) | Arrival::Fin(id, side, _) | Arrival::Reset(id, side, _) => {
                 (*id, *side)
@@ -468,6 +599,13 @@
         if conn.mute {
             return;
         }
+        if !self.wires.is_empty()
+            && self.wires.get(&(conn.ends[1 - side].host, conn.ends[side].host)).is_some_and(|w| w.cut)
+        {
+            // Nothing passes on it any more, after the cut neither: whoever waits for it gives up.
+            conn.mute = true;
+            return;
+        }
         // On one machine all goes on, whoever else can't hear it.
         let near = conn.ends[0].host == conn.ends[1].host;
         for end in conn.ends.iter().filter(|_| !near) {
@@ -556,7 +694,7 @@
                 }
                 self.forget(id);
             }
-            Arrival::Syn(_) | Arrival::Again(_) => {}
+            Arrival::Syn(_) | Arrival::Again(_) | Arrival::Datagram(..) => {}
         }
     }
 
@@ -740,6 +878,7 @@
         for at in listening {
             self.unlisten(at);
         }
+        self.sockets.retain(|_, socket| socket.pid != pid);
         self.break_all(|owner| owner == Owner::Process(pid));
         self.processes[pid.0 as usize].held = 0;
     }
--- a/crates/emulator/src/platform.rs
+++ b/crates/emulator/src/platform.rs
@@ -2,11 +2,11 @@
 
 use crate::kernel::{Kernel, Pid, Running, Sleep};
 use crate::net::{ConnId, HostId, Owner, Side};
-use cometcroft_platform::{Listener, Platform, Stream};
+use cometcroft_platform::{Datagrams, Listener, Platform, Stream};
 use std::fmt;
 use std::future::poll_fn;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -54,6 +54,12 @@
         self.twice = true;
     }
 
+    /// Opens a socket for datagrams.
+    pub fn datagrams(&self, at: SocketAddr) -> EmulatedDatagrams<E> {
+        self.kernel.with_net(|net| net.bind(at, self.pid, self.host));
+        EmulatedDatagrams { platform: self.clone(), at }
+    }
+
     /// Listens at an address.
     pub fn listen(&self, at: SocketAddr) -> EmulatedListener<E> {
         self.kernel.with_net(|net| net.listen(at, Owner::Process(self.pid), self.host, 128));
@@ -171,9 +177,43 @@
     }
 }
 
+/// A socket for datagrams of an emulated process.
+pub struct EmulatedDatagrams<E: 'static> {
+    platform: Emulated<E>,
+    at: SocketAddr,
+}
+
+impl<E: 'static> Drop for EmulatedDatagrams<E> {
+    fn drop(&mut self) {
+        let platform = &self.platform;
+        platform.kernel.with_net(|net| net.unbind(self.at, platform.pid));
+    }
+}
+
+impl<E: 'static> Datagrams for EmulatedDatagrams<E> {
+    async fn receive(&self, buffer: &mut [u8]) -> io::Result<(usize, SocketAddr)> {
+        let net = &self.platform.kernel.net;
+        let (from, bytes) = poll_fn(|cx| {
+            let next = net.borrow_mut().take_datagram(self.at, cx.waker());
+            next.map_or(Poll::Pending, Poll::Ready)
+        })
+        .await;
+        let taken = bytes.len().min(buffer.len());
+        buffer[..taken].copy_from_slice(&bytes[..taken]);
+        Ok((taken, from))
+    }
+
+    fn send(&self, bytes: &[u8], to: SocketAddr) -> io::Result<()> {
+        let (at, host) = (self.at, self.platform.host);
+        self.platform.kernel.with_net(|net| net.send_datagram(at, host, to, bytes));
+        Ok(())
+    }
+}
+
 impl<E: 'static> Platform for Emulated<E> {
     type Stream = EmulatedStream<E>;
     type Listener = EmulatedListener<E>;
+    type Datagrams = EmulatedDatagrams<E>;
     type Task = Running;
 
     fn now(&self) -> Instant {
@@ -212,4 +252,9 @@
         .await?;
         Ok(stream)
     }
+
+    async fn connect_from(&self, _: IpAddr, to: SocketAddr) -> io::Result<EmulatedStream<E>> {
+        // A host has one machine's address here: the network knows who connects.
+        self.connect(to).await
+    }
 }
--- a/crates/emulator/src/scenario.rs
+++ b/crates/emulator/src/scenario.rs
@@ -2,132 +2,12 @@
 //!
 //! Every error is one line: file, line, column, field, reason. `docs/scenarios.md` is the reference.
 
-use serde::de::{self, Deserializer, Visitor};
-use serde::ser::{SerializeSeq, Serializer};
+use cometcroft_tomlfile::place;
+pub use cometcroft_tomlfile::{Span, Time};
 use serde::{Deserialize, Serialize};
 use std::fmt;
 use std::path::Path;
 
-/// A figure, or a range `[least, most]` to draw it from.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Span(pub f64, pub f64);
-
-/// A time with its unit (`"250ms"`, `"12.5s"`), or a range of two. In seconds.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Time(pub f64, pub f64);
-
-fn figure<E: de::Error>(value: f64) -> Result<f64, E> {
-    if value.is_finite() && value >= 0.0 {
-        return Ok(value);
-    }
-    Err(E::custom(format!("{value} must be finite and not negative")))
-}
-
-fn ordered<E: de::Error>(lo: f64, hi: f64) -> Result<(f64, f64), E> {
-    if lo <= hi { Ok((lo, hi)) } else { Err(E::custom(format!("range [{lo}, {hi}] runs backwards"))) }
-}
-
-fn time<E: de::Error>(text: &str) -> Result<f64, E> {
-    let at = text.find(|c: char| c.is_ascii_alphabetic()).unwrap_or(text.len());
-    let (number, unit) = text.split_at(at);
-    let scale = match unit {
-        "ns" => 1e-9,
-        "us" => 1e-6,
-        "ms" => 1e-3,
-        "s" => 1.0,
-        "m" => 60.0,
-        _ => return Err(E::custom(format!("time {text:?} needs a unit: ns, us, ms, s or m"))),
-    };
-    let number: f64 = number.trim().parse().map_err(|_| E::custom(format!("time {text:?} has no number")))?;
-    // The clock has nanoseconds; what is written down again reads back as the same time.
-    figure((number * scale * 1e9).round() / 1e9)
-}
-
-struct SpanVisitor;
-
-impl<'de> Visitor<'de> for SpanVisitor {
-    type Value = Span;
-    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("a number or a range [least, most]")
-    }
-    fn visit_f64<E: de::Error>(self, value: f64) -> Result<Span, E> {
-        figure(value).map(|v| Span(v, v))
-    }
-    fn visit_i64<E: de::Error>(self, value: i64) -> Result<Span, E> {
-        self.visit_f64(value as f64)
-    }
-    fn visit_u64<E: de::Error>(self, value: u64) -> Result<Span, E> {
-        self.visit_f64(value as f64)
-    }
-    fn visit_seq<A: de::SeqAccess<'de>>(self, mut seq: A) -> Result<Span, A::Error> {
-        let mut next = || seq.next_element::<f64>()?.ok_or_else(|| de::Error::custom("a range has two ends"));
-        let (lo, hi) = (figure(next()?)?, figure(next()?)?);
-        if seq.next_element::<f64>()?.is_some() {
-            return Err(de::Error::custom("a range has two ends"));
-        }
-        ordered(lo, hi).map(|(lo, hi)| Span(lo, hi))
-    }
-}
-
-impl<'de> Deserialize<'de> for Span {
-    fn deserialize<D: Deserializer<'de>>(d: D) -> Result<Span, D::Error> {
-        d.deserialize_any(SpanVisitor)
-    }
-}
-
-impl Serialize for Span {
-    fn serialize<S: Serializer>(&self, s: S) -> Result<S::Ok, S::Error> {
-        if self.0 == self.1 {
-            return s.serialize_f64(self.0);
-        }
-        let mut seq = s.serialize_seq(Some(2))?;
-        seq.serialize_element(&self.0)?;
-        seq.serialize_element(&self.1)?;
-        seq.end()
-    }
-}
-
-struct TimeVisitor;
-
-impl<'de> Visitor<'de> for TimeVisitor {
-    type Value = Time;
-    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("a time such as \"250ms\" or a range of two")
-    }
-    fn visit_str<E: de::Error>(self, text: &str) -> Result<Time, E> {
-        time(text).map(|t| Time(t, t))
-    }
-    fn visit_seq<A: de::SeqAccess<'de>>(self, mut seq: A) -> Result<Time, A::Error> {
-        let mut next =
-            || seq.next_element::<String>()?.ok_or_else(|| de::Error::custom("a range has two ends"));
-        let (lo, hi) = (time(&next()?)?, time(&next()?)?);
-        if seq.next_element::<String>()?.is_some() {
-            return Err(de::Error::custom("a range has two ends"));
-        }
-        ordered(lo, hi).map(|(lo, hi)| Time(lo, hi))
-    }
-}
-
-impl<'de> Deserialize<'de> for Time {
-    fn deserialize<D: Deserializer<'de>>(d: D) -> Result<Time, D::Error> {
-        d.deserialize_any(TimeVisitor)
-    }
-}
-
-impl Serialize for Time {
-    fn serialize<S: Serializer>(&self, s: S) -> Result<S::Ok, S::Error> {
-        // Nanoseconds are what the clock has; a written script must play as it was drawn.
-        let word = |t: f64| format!("{}ns", (t * 1e9).round());
-        if self.0 == self.1 {
-            return s.serialize_str(&word(self.0));
-        }
-        let mut seq = s.serialize_seq(Some(2))?;
-        seq.serialize_element(&word(self.0))?;
-        seq.serialize_element(&word(self.1))?;
-        seq.end()
-    }
-}
-
 const fn s(v: f64) -> Time {
     Time(v, v)
 }
@@ -638,38 +518,11 @@
 
 impl std::error::Error for ScenarioError {}
 
-/// Line and column of a byte of a text, counted from 1.
-fn place(text: &str, byte: usize) -> (usize, usize) {
-    let before = &text.as_bytes()[..byte.min(text.len())];
-    let line = before.iter().filter(|&&b| b == b'\n').count() + 1;
-    let column = before.iter().rev().take_while(|&&b| b != b'\n').count() + 1;
-    (line, column)
-}
-
-/// The key on the line that a byte lies on, or the header of its table.
-fn key(text: &str, byte: usize) -> String {
-    let byte = byte.min(text.len());
-    let mut start = byte;
-    while start > 0 && text.as_bytes()[start - 1] != b'\n' {
-        start -= 1;
-    }
-    let line = text[start..].lines().next().unwrap_or_default();
-    line.split('=').next().unwrap_or_default().trim().to_owned()
-}
-
 impl Scenario {
     /// Reads a scenario; `file` is only named in errors.
     pub fn parse(text: &str, file: &str) -> Result<Scenario, ScenarioError> {
-        let scenario: Scenario = toml::from_str(text).map_err(|error| {
-            let reason = error.message().replace('\n', " ");
-            match error.span() {
-                Some(span) => {
-                    let (line, column) = place(text, span.start);
-                    ScenarioError(format!("{file}:{line}:{column}: {}: {reason}", key(text, span.start)))
-                }
-                None => ScenarioError(format!("{file}: {reason}")),
-            }
-        })?;
+        let scenario: Scenario =
+            cometcroft_tomlfile::read(text, file).map_err(|e| ScenarioError(e.to_string()))?;
         scenario.check().map_err(|(header, index, field, reason)| {
             // The table that the field belongs to, and the field in it where it is written down.
             let table = text.match_indices(&header).map(|(at, _)| at).nth(index).unwrap_or(0);
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -13,7 +13,7 @@
 use std::fmt::Debug;
 use std::future::Future;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncRead, AsyncWrite};
 
@@ -51,6 +51,14 @@
     fn accept(&self) -> impl Future<Output = io::Result<Self::Stream>>;
 }
 
+/// A socket for datagrams. Dropped, it is closed.
+pub trait Datagrams: 'static {
+    /// The next datagram, cut to the buffer, and whose it is.
+    fn receive(&self, buffer: &mut [u8]) -> impl Future<Output = io::Result<(usize, SocketAddr)>>;
+    /// Sends one at once or not at all; whether it arrives is never told.
+    fn send(&self, bytes: &[u8], to: SocketAddr) -> io::Result<()>;
+}
+
 /// A running task. Awaited, it ends when the task is done or, after an abort, when what it held is dropped.
 pub trait Task: Future<Output = ()> + Unpin + 'static {
     /// Ends the task at its next turn.
@@ -63,6 +71,8 @@
     type Stream: Stream;
     /// A listening socket.
     type Listener: Listener<Stream = Self::Stream>;
+    /// A socket for datagrams.
+    type Datagrams: Datagrams;
     /// A running task.
     type Task: Task;
 
@@ -77,6 +87,9 @@
     /// Opens a connection. Never ends where the other side is silent; callers bound it.
     fn connect(&self, to: SocketAddr) -> impl Future<Output = io::Result<Self::Stream>>;
 
+    /// The same, from an address of this machine that the other side is to see.
+    fn connect_from(&self, from: IpAddr, to: SocketAddr) -> impl Future<Output = io::Result<Self::Stream>>;
+
     /// Runs a task that nobody waits for and that ends by itself.
     fn detach(&self, task: impl Future<Output = ()> + 'static) {
         drop(self.spawn(task));
--- a/crates/platform/src/tokio_rt.rs
+++ b/crates/platform/src/tokio_rt.rs
@@ -2,15 +2,15 @@
 //! sockets and tasks directly; `clippy.toml` keeps the other packages to that.
 #![allow(clippy::disallowed_methods)]
 
-use crate::{Listener, Platform, Stream, Task};
+use crate::{Datagrams, Listener, Platform, Stream, Task};
 use std::future::Future;
 use std::io;
 use std::mem::MaybeUninit;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::pin::Pin;
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream, UdpSocket};
 use tokio::task::JoinHandle;
 
 /// tokio's sockets, clock and local tasks; must be used inside a `LocalSet`.
@@ -54,9 +54,20 @@
     }
 }
 
+impl Datagrams for UdpSocket {
+    async fn receive(&self, buffer: &mut [u8]) -> io::Result<(usize, SocketAddr)> {
+        self.recv_from(buffer).await
+    }
+
+    fn send(&self, bytes: &[u8], to: SocketAddr) -> io::Result<()> {
+        self.try_send_to(bytes, to).map(drop)
+    }
+}
+
 impl Platform for Tokio {
     type Stream = TcpStream;
     type Listener = TcpListener;
+    type Datagrams = UdpSocket;
     type Task = Local;
 
     fn now(&self) -> Instant {
@@ -78,4 +89,10 @@
     fn connect(&self, to: SocketAddr) -> impl Future<Output = io::Result<TcpStream>> {
         TcpStream::connect(to)
     }
+
+    async fn connect_from(&self, from: IpAddr, to: SocketAddr) -> io::Result<TcpStream> {
+        let socket = if to.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+        socket.bind(SocketAddr::new(from, 0))?;
+        socket.connect(to).await
+    }
 }
--- /dev/null
+++ b/crates/sidecar/src/fleet.rs
@@ -0,0 +1,252 @@
+//! This sidecar as a member of its fleet: the driver of [`Membership`] on a [`Platform`]. The data path never waits for
+//! it; what it learns reaches the module as settings.
+
+use cometcroft_membership::{Change, Config, Headcount, MAX_DATAGRAM, Membership, Output, Time};
+use cometcroft_platform::{Datagrams, Listener, Platform, Task};
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::sync::Notify;
+
+/// Exchanges that it begins, and that others begin with it, at once.
+const EXCHANGES: usize = 2;
+const VISITORS: usize = 8;
+/// An exchange takes no longer.
+const EXCHANGE: Duration = Duration::from_secs(1);
+/// The count of those at work is looked at anew so often.
+const RECOUNT: Duration = Duration::from_millis(200);
+
+/// What hears of every change of state.
+pub type Watcher = Box<dyn Fn(&Change)>;
+
+/// What a member of a fleet is given by whoever starts it.
+pub struct FleetParts<P: Platform> {
+    /// What it is told.
+    pub config: Config,
+    /// Its socket for datagrams.
+    pub socket: P::Datagrams,
+    /// Where whole views are exchanged.
+    pub listener: P::Listener,
+    /// The address that its connections come from.
+    pub from: IpAddr,
+    /// Hears of changes.
+    pub watcher: Watcher,
+}
+
+/// A member of a fleet.
+pub struct Fleet<P: Platform> {
+    platform: P,
+    machine: RefCell<Membership>,
+    socket: P::Datagrams,
+    from: IpAddr,
+    origin: Instant,
+    tier: u8,
+    count: RefCell<Headcount>,
+    in_force: Cell<u32>,
+    recount: Cell<Time>,
+    counted: Notify,
+    wake: Notify,
+    calls: Cell<usize>,
+    visitors: Cell<usize>,
+    watcher: Watcher,
+}
+
+impl<P: Platform> Fleet<P> {
+    /// A member that starts now; `instances` is how many are at work by the settings.
+    pub fn new(platform: P, parts: FleetParts<P>, instances: u32, seed: u64) -> (Rc<Fleet<P>>, P::Listener) {
+        let FleetParts { config, socket, listener, from, watcher } = parts;
+        let origin = platform.now();
+        let (tier, cautious, settle) = (config.tier, config.parts.cautious, config.timing.settle);
+        let unix = platform.unix().as_millis() as u64;
+        let fleet = Fleet {
+            machine: RefCell::new(Membership::new(config, Time::ZERO, unix, seed)),
+            socket,
+            from,
+            origin,
+            tier,
+            count: RefCell::new(Headcount::new(Time::ZERO, instances, settle, cautious)),
+            in_force: Cell::new(instances.max(1)),
+            recount: Cell::new(Time::ZERO),
+            counted: Notify::new(),
+            wake: Notify::new(),
+            calls: Cell::new(0),
+            visitors: Cell::new(0),
+            watcher,
+            platform,
+        };
+        (Rc::new(fleet), listener)
+    }
+
+    fn now(&self) -> Time {
+        self.platform.since(self.origin)
+    }
+
+    /// Takes part until it is dropped.
+    pub async fn run(self: Rc<Self>, listener: P::Listener) {
+        let served = self.clone();
+        let _server = Guard(self.platform.spawn(async move { served.serve(listener).await }));
+        let mut buffer = [0; MAX_DATAGRAM + 1];
+        loop {
+            let due = self.origin + self.machine.borrow().next_at();
+            tokio::select! {
+                biased;
+                // Danger: who floods it with datagrams must not keep it from its times.
+                () = self.platform.sleep_until(due) => self.machine.borrow_mut().tick(self.now()),
+                () = self.wake.notified() => {}
+                got = self.socket.receive(&mut buffer) => match got {
+                    Ok((length, _)) => self.machine.borrow_mut().receive(self.now(), &buffer[..length]),
+                    // Out of memory or the like: not in a tight loop.
+                    Err(_) => self.platform.sleep(Duration::from_millis(5)).await,
+                },
+            }
+            self.flush();
+        }
+    }
+
+    /// Does what the machine wants done.
+    fn flush(self: &Rc<Self>) {
+        let mut changed = false;
+        loop {
+            let output = self.machine.borrow_mut().output();
+            match output {
+                None => break,
+                // What can't be sent now is lost, as on any way.
+                Some(Output::Send(to, bytes)) => drop(self.socket.send(&bytes, to.into())),
+                Some(Output::Exchange(to)) if self.calls.get() < EXCHANGES => {
+                    self.calls.set(self.calls.get() + 1);
+                    let fleet = self.clone();
+                    self.platform.detach(async move {
+                        let called = fleet.platform.timeout(EXCHANGE, fleet.exchange(to.into()));
+                        // One that failed is made again, with another, while views differ.
+                        let _ = called.await;
+                        fleet.calls.set(fleet.calls.get() - 1);
+                        fleet.wake.notify_one();
+                    });
+                }
+                Some(Output::Exchange(_)) => {}
+                Some(Output::Changed(change)) => {
+                    changed = true;
+                    (self.watcher)(&change);
+                }
+            }
+        }
+        let now = self.now();
+        if changed || now >= self.recount.get() {
+            self.recount.set(now + RECOUNT);
+            let machine = self.machine.borrow();
+            let (reached, known) = machine.reach();
+            let count = self.count.borrow_mut().see(now, machine.at_work(self.tier), reached, known);
+            if self.in_force.replace(count) != count {
+                self.counted.notify_one();
+            }
+        }
+    }
+
+    /// Asks another for its whole view, and gives its own.
+    async fn exchange(&self, to: SocketAddr) -> io::Result<()> {
+        let mut stream = self.platform.connect_from(self.from, to).await?;
+        let view = self.machine.borrow_mut().view();
+        write(&mut stream, &view).await?;
+        let longest = self.machine.borrow().longest_view();
+        let theirs = read(&mut stream, longest).await?;
+        self.machine.borrow_mut().take_view(self.now(), &theirs);
+        Ok(())
+    }
+
+    async fn serve(self: Rc<Self>, listener: P::Listener) {
+        loop {
+            let accepted = listener.accept().await;
+            let Ok(mut stream) = accepted else {
+                self.platform.sleep(Duration::from_millis(50)).await;
+                continue;
+            };
+            // Danger: hundreds that start at once all come here; those beyond a few come again.
+            if self.visitors.get() >= VISITORS {
+                continue;
+            }
+            self.visitors.set(self.visitors.get() + 1);
+            let fleet = self.clone();
+            self.platform.detach(async move {
+                let visit = async {
+                    let longest = fleet.machine.borrow().longest_view();
+                    let theirs = read(&mut stream, longest).await?;
+                    let answer = fleet.machine.borrow_mut().take_view(fleet.now(), &theirs);
+                    match answer {
+                        Some(answer) => write(&mut stream, &answer).await,
+                        None => Ok(()),
+                    }
+                };
+                let _ = fleet.platform.timeout(EXCHANGE, visit).await;
+                fleet.visitors.set(fleet.visitors.get() - 1);
+                fleet.wake.notify_one();
+            });
+        }
+    }
+
+    /// It leaves in order.
+    pub fn leave(&self) {
+        self.machine.borrow_mut().leave(self.now());
+        self.wake.notify_one();
+    }
+
+    /// How many sidecars of its tier are at work, for whoever divides by it.
+    pub fn at_work(&self) -> u32 {
+        self.in_force.get()
+    }
+
+    /// Waits until that is another number.
+    pub async fn recounted(&self) {
+        self.counted.notified().await;
+    }
+
+    /// Looks at the machine.
+    pub fn ask<T>(&self, what: impl FnOnce(&Membership) -> T) -> T {
+        what(&self.machine.borrow())
+    }
+
+    /// Its view as JSON, for the operators' door.
+    pub fn json(&self) -> String {
+        let report = self.ask(Membership::report);
+        let mut value = serde_json::to_value(report).unwrap_or_default();
+        value["at_work"] = self.at_work().into();
+        value.to_string()
+    }
+}
+
+/// Ends its task with itself.
+struct Guard<T: Task>(T);
+
+impl<T: Task> Drop for Guard<T> {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+async fn write(stream: &mut (impl AsyncWriteExt + Unpin), view: &[u8]) -> io::Result<()> {
+    stream.write_all(&(view.len() as u32).to_le_bytes()).await?;
+    stream.write_all(view).await?;
+    stream.flush().await
+}
+
+async fn read(stream: &mut (impl AsyncReadExt + Unpin), longest: usize) -> io::Result<Vec<u8>> {
+    let mut length = [0; 4];
+    stream.read_exact(&mut length).await?;
+    let length = u32::from_le_bytes(length) as usize;
+    // Danger: a stranger may announce any length; room is made for what came, not for what was announced.
+    if length > longest {
+        return Err(io::ErrorKind::InvalidData.into());
+    }
+    let mut view = Vec::with_capacity(length.min(64 << 10));
+    while view.len() < length {
+        let mut piece = [0; 4096];
+        let want = piece.len().min(length - view.len());
+        match stream.read(&mut piece[..want]).await? {
+            0 => return Err(io::ErrorKind::UnexpectedEof.into()),
+            read => view.extend_from_slice(&piece[..read]),
+        }
+    }
+    Ok(view)
+}
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod door;
 pub mod exchange;
 pub mod figures;
+pub mod fleet;
 pub mod frontend;
 pub mod http;
 pub mod lifecycle;
--- /dev/null
+++ b/crates/tomlfile/src/lib.rs
@@ -0,0 +1,228 @@
+//! TOML files that people write: times with units, figures or ranges, and errors of one line that name file, line, column,
+//! field and reason.
+#![forbid(unsafe_code)]
+#![deny(missing_docs)]
+
+use serde::de::{self, DeserializeOwned, Deserializer, Visitor};
+use serde::ser::{SerializeSeq, Serializer};
+use serde::{Deserialize, Serialize};
+use std::fmt;
+use std::time::Duration;
+
+/// A figure, or a range `[least, most]` to draw it from.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Span(pub f64, pub f64);
+
+/// A time with its unit (`"250ms"`, `"12.5s"`), or a range of two. In seconds.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Time(pub f64, pub f64);
+
+fn figure<E: de::Error>(value: f64) -> Result<f64, E> {
+    if value.is_finite() && value >= 0.0 {
+        return Ok(value);
+    }
+    Err(E::custom(format!("{value} must be finite and not negative")))
+}
+
+fn ordered<E: de::Error>(lo: f64, hi: f64) -> Result<(f64, f64), E> {
+    if lo <= hi { Ok((lo, hi)) } else { Err(E::custom(format!("range [{lo}, {hi}] runs backwards"))) }
+}
+
+fn time<E: de::Error>(text: &str) -> Result<f64, E> {
+    let at = text.find(|c: char| c.is_ascii_alphabetic()).unwrap_or(text.len());
+    let (number, unit) = text.split_at(at);
+    let scale = match unit {
+        "ns" => 1e-9,
+        "us" => 1e-6,
+        "ms" => 1e-3,
+        "s" => 1.0,
+        "m" => 60.0,
+        _ => return Err(E::custom(format!("time {text:?} needs a unit: ns, us, ms, s or m"))),
+    };
+    let number: f64 = number.trim().parse().map_err(|_| E::custom(format!("time {text:?} has no number")))?;
+    // The clock has nanoseconds; what is written down again reads back as the same time.
+    figure((number * scale * 1e9).round() / 1e9)
+}
+
+struct SpanVisitor;
+
+impl<'de> Visitor<'de> for SpanVisitor {
+    type Value = Span;
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a number or a range [least, most]")
+    }
+    fn visit_f64<E: de::Error>(self, value: f64) -> Result<Span, E> {
+        figure(value).map(|v| Span(v, v))
+    }
+    fn visit_i64<E: de::Error>(self, value: i64) -> Result<Span, E> {
+        self.visit_f64(value as f64)
+    }
+    fn visit_u64<E: de::Error>(self, value: u64) -> Result<Span, E> {
+        self.visit_f64(value as f64)
+    }
+    fn visit_seq<A: de::SeqAccess<'de>>(self, mut seq: A) -> Result<Span, A::Error> {
+        let mut next = || seq.next_element::<f64>()?.ok_or_else(|| de::Error::custom("a range has two ends"));
+        let (lo, hi) = (figure(next()?)?, figure(next()?)?);
+        if seq.next_element::<f64>()?.is_some() {
+            return Err(de::Error::custom("a range has two ends"));
+        }
+        ordered(lo, hi).map(|(lo, hi)| Span(lo, hi))
+    }
+}
+
+impl<'de> Deserialize<'de> for Span {
+    fn deserialize<D: Deserializer<'de>>(d: D) -> Result<Span, D::Error> {
+        d.deserialize_any(SpanVisitor)
+    }
+}
+
+impl Serialize for Span {
+    fn serialize<S: Serializer>(&self, s: S) -> Result<S::Ok, S::Error> {
+        if self.0 == self.1 {
+            return s.serialize_f64(self.0);
+        }
+        let mut seq = s.serialize_seq(Some(2))?;
+        seq.serialize_element(&self.0)?;
+        seq.serialize_element(&self.1)?;
+        seq.end()
+    }
+}
+
+struct TimeVisitor;
+
+impl<'de> Visitor<'de> for TimeVisitor {
+    type Value = Time;
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a time such as \"250ms\" or a range of two")
+    }
+    fn visit_str<E: de::Error>(self, text: &str) -> Result<Time, E> {
+        time(text).map(|t| Time(t, t))
+    }
+    fn visit_seq<A: de::SeqAccess<'de>>(self, mut seq: A) -> Result<Time, A::Error> {
+        let mut next =
+            || seq.next_element::<String>()?.ok_or_else(|| de::Error::custom("a range has two ends"));
+        let (lo, hi) = (time(&next()?)?, time(&next()?)?);
+        if seq.next_element::<String>()?.is_some() {
+            return Err(de::Error::custom("a range has two ends"));
+        }
+        ordered(lo, hi).map(|(lo, hi)| Time(lo, hi))
+    }
+}
+
+impl<'de> Deserialize<'de> for Time {
+    fn deserialize<D: Deserializer<'de>>(d: D) -> Result<Time, D::Error> {
+        d.deserialize_any(TimeVisitor)
+    }
+}
+
+impl Serialize for Time {
+    fn serialize<S: Serializer>(&self, s: S) -> Result<S::Ok, S::Error> {
+        // Nanoseconds are what the clock has; a written script must play as it was drawn.
+        let word = |t: f64| format!("{}ns", (t * 1e9).round());
+        if self.0 == self.1 {
+            return s.serialize_str(&word(self.0));
+        }
+        let mut seq = s.serialize_seq(Some(2))?;
+        seq.serialize_element(&word(self.0))?;
+        seq.serialize_element(&word(self.1))?;
+        seq.end()
+    }
+}
+
+impl Time {
+    /// The time where it is no range; else its middle.
+    pub fn exact(self) -> Duration {
+        Duration::from_nanos(((self.0 + self.1) * 5e8).round() as u64)
+    }
+}
+
+/// What is wrong with a file, in one line.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct FileError(String);
+
+impl FileError {
+    /// An error at a field of a file.
+    pub fn at(file: &str, text: &str, byte: usize, field: &str, reason: &str) -> FileError {
+        let (line, column) = place(text, byte);
+        FileError(format!("{file}:{line}:{column}: {field}: {reason}"))
+    }
+
+    /// An error that has no place.
+    pub fn of(file: &str, reason: impl fmt::Display) -> FileError {
+        FileError(format!("{file}: {reason}"))
+    }
+}
+
+impl fmt::Display for FileError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl std::error::Error for FileError {}
+
+/// Reads a file's text; `file` is only named in errors. Unknown fields are answered with the nearest known one.
+pub fn read<T: DeserializeOwned>(text: &str, file: &str) -> Result<T, FileError> {
+    toml::from_str(text).map_err(|error| {
+        let reason = error.message().replace('\n', " ");
+        let reason =
+            nearest(&reason).map_or(reason.clone(), |near| format!("{reason}; did you mean {near:?}?"));
+        match error.span() {
+            Some(span) => FileError::at(file, text, span.start, &key(text, span.start), &reason),
+            None => FileError::of(file, reason),
+        }
+    })
+}
+
+/// The known field that an unknown one is nearest to, as serde lists them.
+fn nearest(reason: &str) -> Option<String> {
+    let (unknown, expected) = reason.strip_prefix("unknown field ")?.split_once(", expected ")?;
+    let unknown = unknown.trim_matches('`');
+    let known = expected.split('`').skip(1).step_by(2);
+    let near = known.map(|field| (strsim::damerau_levenshtein(unknown, field), field)).min()?;
+    (near.0 <= 3).then(|| near.1.to_owned())
+}
+
+/// Line and column of a byte of a text, counted from 1.
+pub fn place(text: &str, byte: usize) -> (usize, usize) {
+    let before = &text.as_bytes()[..byte.min(text.len())];
+    let line = before.iter().filter(|&&b| b == b'\n').count() + 1;
+    let column = before.iter().rev().take_while(|&&b| b != b'\n').count() + 1;
+    (line, column)
+}
+
+/// The key on the line that a byte lies on, or the header of its table.
+pub fn key(text: &str, byte: usize) -> String {
+    let byte = byte.min(text.len());
+    let mut start = byte;
+    while start > 0 && text.as_bytes()[start - 1] != b'\n' {
+        start -= 1;
+    }
+    let line = text[start..].lines().next().unwrap_or_default();
+    line.split('=').next().unwrap_or_default().trim().to_owned()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[derive(Debug, Deserialize)]
+    #[serde(deny_unknown_fields)]
+    struct File {
+        #[allow(dead_code)]
+        pause: Time,
+        #[allow(dead_code)]
+        members: Option<Span>,
+    }
+
+    #[test]
+    fn errors_name_file_line_field_reason_and_the_nearest_field() {
+        let told = |text: &str| read::<File>(text, "f.toml").expect_err("refused").to_string();
+        let unknown = told("pause = \"2s\"\nmembrs = 3\n");
+        assert!(unknown.starts_with("f.toml:2:1: membrs: unknown field"), "{unknown}");
+        assert!(unknown.ends_with("did you mean \"members\"?"), "{unknown}");
+        assert!(told("pause = \"2\"\n").contains("f.toml:1:9: pause: time"), "{}", told("pause = \"2\"\n"));
+        assert!(!told("zzzzzzzzzz = 1\n").contains("did you mean"));
+        assert_eq!(read::<File>("pause = \"250ms\"\n", "f").expect("read").pause.exact().as_millis(), 250);
+    }
+}
