--- /dev/null
+++ b/crates/emulator/src/fleet.rs
@@ -0,0 +1,438 @@
+//! Fleets on the virtual clock: the sidecar's own driver of membership, many times over, under a script of faults, held
+//! against the rules by the same judge that real processes are held against.
+
+use crate::dice::Dice;
+use crate::kernel::{Kernel, MS, Nanos, Pid, SEC};
+use crate::net::{HostId, Links, Net, Wire};
+use crate::platform::Emulated;
+use cometcroft_membership::{Config, Name, Parts, State, Timing};
+use cometcroft_script::{Broken, Doing, Judge, Look, Plan};
+use cometcroft_sidecar::fleet::{Fleet, FleetParts};
+use serde::Serialize;
+use std::cell::RefCell;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::rc::Rc;
+use std::time::Duration;
+
+enum Event {
+    Act(usize),
+    /// A member that was asked to leave ends, if it is still this life of it.
+    End(usize, u32),
+    Look,
+    Equal,
+    Garbage(usize, u32),
+}
+
+type World = Kernel<Event>;
+type Sim = Emulated<Event>;
+/// Changes of state as they came: who saw them, whom they concern, which start, from, to.
+type Changes = Rc<RefCell<Vec<(usize, Name, u64, Option<State>, State)>>>;
+
+struct Seat {
+    name: Name,
+    zone: Name,
+    host: HostId,
+    address: SocketAddrV4,
+    process: Option<(Pid, Rc<Fleet<Sim>>)>,
+    life: u32,
+    garbage: u32,
+    started: Nanos,
+    lived: Nanos,
+    sent: (u64, u64),
+}
+
+/// What a fleet's run has given.
+#[derive(Debug, Clone, Serialize)]
+pub struct FleetReport {
+    /// The script.
+    pub script: String,
+    /// The seed.
+    pub seed: u64,
+    /// Members at the beginning.
+    pub members: usize,
+    /// Virtual seconds.
+    pub seconds: f64,
+    /// For each member that died: until the first, and until all others knew.
+    pub known_s: Vec<(f64, f64)>,
+    /// Suspicions of members that lived and answered for all that was done to them, and such that were called gone.
+    pub wronged: (u64, u64),
+    /// Hours that members lived, over all.
+    pub member_hours: f64,
+    /// From the last fault until all views were equal and true, if they became so.
+    pub equal_s: Option<f64>,
+    /// Datagrams and bytes a second and member, sent.
+    pub datagrams_s: f64,
+    /// Bytes of datagrams and of exchanges.
+    pub bytes_s: f64,
+    /// Bytes of exchanges among them.
+    pub exchange_bytes_s: f64,
+    /// Rules that were broken.
+    pub broken: Vec<Broken>,
+}
+
+/// A fleet being played.
+pub struct FleetRun {
+    plan: Plan,
+    kernel: Rc<World>,
+    judge: Judge,
+    seats: Vec<Seat>,
+    wires: Vec<(usize, usize, usize, cometcroft_script::Wire)>,
+    changes: Changes,
+    parts: Parts,
+    dice: Dice,
+    deaths: Vec<(usize, Nanos, Vec<Option<Nanos>>)>,
+    wronged: (u64, u64),
+    equal_since: Option<Nanos>,
+    exchanged: u64,
+}
+
+fn time(at: Nanos) -> Duration {
+    Duration::from_nanos(at)
+}
+
+impl FleetRun {
+    /// A fleet before its first step, with these parts of the protocol at work.
+    pub fn new(plan: Plan, parts: Parts) -> FleetRun {
+        let ms = MS as f64;
+        let links =
+            Links { local: 0.02 * ms, same: 0.3 * ms, cross: 2.0 * ms, client: 1.0 * ms, jitter: 0.5 };
+        let kernel: Rc<World> = Kernel::new(Net::new(links, plan.seed));
+        let places = plan.members.iter().map(|m| m.place + 1).max().unwrap_or(0);
+        let hosts: Vec<HostId> = (0..places)
+            .map(|place| {
+                let zone = plan.members.iter().find(|m| m.place == place).map_or(0, |m| m.zone);
+                kernel.with_net(|net| net.host(zone))
+            })
+            .collect();
+        let seat = |member: &cometcroft_script::MemberPlan| Seat {
+            name: Name::new(&member.name).unwrap_or_default(),
+            zone: Name::new(&plan.zones[member.zone]).unwrap_or_default(),
+            host: hosts[member.place],
+            address: SocketAddrV4::new(
+                Ipv4Addr::new(127, 9, (member.place >> 8) as u8, member.place as u8),
+                7000,
+            ),
+            process: None,
+            life: 0,
+            garbage: 0,
+            started: 0,
+            lived: 0,
+            sent: (0, 0),
+        };
+        let seats: Vec<Seat> = plan.members.iter().map(seat).collect();
+        for (i, act) in plan.acts.iter().enumerate() {
+            kernel.world_at(act.at.as_nanos() as Nanos, Event::Act(i));
+        }
+        kernel.world_at(100 * MS, Event::Equal);
+        kernel.world_at(100 * MS, Event::Look);
+        FleetRun {
+            judge: Judge::new(&plan, 1.0),
+            dice: Dice::new(plan.seed, "fleet"),
+            kernel,
+            seats,
+            wires: Vec::new(),
+            changes: Changes::default(),
+            parts,
+            deaths: Vec::new(),
+            wronged: (0, 0),
+            equal_since: None,
+            exchanged: 0,
+            plan,
+        }
+    }
+
+    /// Plays to the end, or until a rule is broken if `stop` says so.
+    pub fn play(&mut self, stop: bool) -> FleetReport {
+        let until = self.plan.length.as_nanos() as Nanos;
+        while let Some(event) = self.kernel.next(until) {
+            if let Some(event) = event {
+                self.happen(event);
+            }
+            self.kernel.run_ready();
+            self.kernel.notes();
+            self.kernel.taps();
+            self.hear();
+            if stop && !self.judge.broken.is_empty() {
+                break;
+            }
+        }
+        for i in 0..self.seats.len() {
+            self.count_life(i);
+        }
+        self.report()
+    }
+
+    fn happen(&mut self, event: Event) {
+        let now = self.kernel.now();
+        match event {
+            Event::Act(i) => {
+                let act = self.plan.acts[i].clone();
+                self.judge.done(time(now), &act.doing, act.line);
+                self.act(act.doing);
+            }
+            Event::End(i, life) => {
+                if self.seats[i].life == life {
+                    self.end(i);
+                }
+            }
+            Event::Look => {
+                for i in 0..self.seats.len() {
+                    if let Some(look) = self.look(i) {
+                        self.judge.look(time(now), i, &look);
+                    }
+                }
+                let wait = 200 * MS * (1 + self.seats.len() as u64 / 50);
+                self.kernel.world_at(now + wait, Event::Look);
+            }
+            Event::Equal => {
+                let equal = self.equal();
+                if !equal {
+                    self.equal_since = None;
+                } else if self.equal_since.is_none() {
+                    self.equal_since = Some(now);
+                }
+                self.kernel.world_at(now + 100 * MS, Event::Equal);
+            }
+            Event::Garbage(i, rate) => {
+                if self.seats[i].garbage != rate || rate == 0 {
+                    return;
+                }
+                let each = (rate / 1000).max(1);
+                let to = SocketAddr::V4(self.seats[i].address);
+                let from = SocketAddr::from(([127, 10, 0, 1], 9));
+                for _ in 0..each {
+                    let length = self.dice.below(1300);
+                    let bytes: Vec<u8> = (0..length).map(|_| self.dice.below(256) as u8).collect();
+                    self.kernel.with_net(|net| {
+                        let host = net.clients();
+                        net.send_datagram(from, host, to, &bytes);
+                    });
+                }
+                self.kernel.world_at(now + MS * 1000 / u64::from(rate.min(1000)), Event::Garbage(i, rate));
+            }
+        }
+    }
+
+    fn act(&mut self, doing: Doing) {
+        let now = self.kernel.now();
+        match doing {
+            Doing::Start(i) => self.start(i),
+            Doing::Stop(i) => {
+                if let Some((pid, _)) = &self.seats[i].process {
+                    self.kernel.stop(*pid);
+                }
+            }
+            Doing::GoOn(i) => {
+                if let Some((pid, _)) = &self.seats[i].process {
+                    self.kernel.go_on(*pid);
+                }
+            }
+            Doing::Kill(i) => {
+                self.died(i);
+                self.end(i);
+            }
+            Doing::Terminate(i) => {
+                self.died(i);
+                if let Some((_, fleet)) = &self.seats[i].process {
+                    fleet.leave();
+                }
+                self.kernel.world_at(now + 2 * SEC, Event::End(i, self.seats[i].life));
+            }
+            Doing::Wire(fault, from, to, wire) => {
+                for &a in &from {
+                    for &b in to.iter().filter(|b| **b != a) {
+                        self.wires.retain(|(f, x, y, _)| (*f, *x, *y) != (fault, a, b));
+                        if let Some(wire) = wire {
+                            self.wires.push((fault, a, b, wire));
+                        }
+                        self.rewire(a, b);
+                    }
+                }
+            }
+            Doing::Garbage(i, rate) => {
+                self.seats[i].garbage = rate;
+                self.kernel.world_at(now, Event::Garbage(i, rate));
+            }
+        }
+    }
+
+    /// Puts on a pair what all faults together make of it.
+    fn rewire(&self, a: usize, b: usize) {
+        let on = self.wires.iter().filter(|(_, x, y, _)| (*x, *y) == (a, b));
+        let all = on.fold(cometcroft_script::Wire::default(), |all, (.., wire)| all.and(*wire));
+        let wire = Wire {
+            cut: all.cut,
+            loss: all.loss,
+            copies: all.copies,
+            turned: all.turned,
+            delay: all.delay.as_nanos() as Nanos,
+            jitter: all.jitter.as_nanos() as Nanos,
+        };
+        let (from, to) = (self.seats[a].host, self.seats[b].host);
+        self.kernel.with_net(|net| net.wire(from, to, wire));
+    }
+
+    fn start(&mut self, i: usize) {
+        if self.seats[i].process.is_some() {
+            return;
+        }
+        let seeds = self.seats[..self.plan.seeds].iter().map(|seat| seat.address).collect();
+        let seat = &mut self.seats[i];
+        seat.life += 1;
+        seat.started = self.kernel.now();
+        let pid = self.kernel.with_net(|net| net.process(64));
+        let platform = Sim::new(self.kernel.clone(), pid, seat.host);
+        let mut config = Config::new("played", seat.name.clone(), seat.address);
+        config.zone = seat.zone.clone();
+        config.rank = i as u16;
+        config.seeds = seeds;
+        config.timing = Timing::from_pause(self.plan.longest_pause);
+        config.parts = self.parts;
+        let at = SocketAddr::V4(seat.address);
+        let changes = self.changes.clone();
+        let parts = FleetParts {
+            config,
+            socket: platform.datagrams(at),
+            listener: platform.listen(at),
+            from: IpAddr::V4(*seat.address.ip()),
+            watcher: Box::new(move |change| {
+                let name = change.name.clone();
+                changes.borrow_mut().push((i, name, change.generation, change.from, change.to));
+            }),
+        };
+        let seed = Dice::new(self.plan.seed, &format!("{} {i} life {}", seat.name, seat.life)).bits();
+        let (fleet, listener) = Fleet::new(platform, parts, self.plan.first as u32, seed);
+        self.judge.known(i, fleet.ask(|machine| machine.me().generation));
+        let running = fleet.clone();
+        self.kernel.spawn(pid, running.run(listener));
+        seat.process = Some((pid, fleet));
+    }
+
+    fn died(&mut self, i: usize) {
+        let others = self.seats.iter().map(|_| None).collect();
+        if self.seats[i].process.is_some() {
+            self.deaths.push((i, self.kernel.now(), others));
+        }
+    }
+
+    fn end(&mut self, i: usize) {
+        self.count_life(i);
+        if let Some((pid, fleet)) = self.seats[i].process.take() {
+            self.kernel.kill(pid);
+            drop(fleet);
+        }
+    }
+
+    /// Adds up what a life has sent.
+    fn count_life(&mut self, i: usize) {
+        let now = self.kernel.now();
+        let seat = &mut self.seats[i];
+        if let Some((_, fleet)) = &seat.process {
+            let (traffic, _) = fleet.ask(|machine| machine.counted());
+            seat.sent.0 += traffic.sent;
+            seat.sent.1 += traffic.sent_bytes;
+            self.exchanged += traffic.exchange_bytes / 2;
+            seat.lived += now - seat.started;
+        }
+    }
+
+    fn look(&self, i: usize) -> Option<Look> {
+        let (pid, fleet) = self.seats[i].process.as_ref()?;
+        if self.kernel.stopped(*pid) {
+            return None;
+        }
+        let at_work = fleet.at_work();
+        Some(fleet.ask(|machine| {
+            let (reached, known) = machine.reach();
+            Look {
+                generation: machine.me().generation,
+                who: machine.who().map(|(name, generation)| (name.to_string(), generation)).collect(),
+                at_work,
+                reached,
+                known,
+                superseded: machine.superseded(),
+            }
+        }))
+    }
+
+    /// All who live hold the same view, and as many are in it as live.
+    fn equal(&self) -> bool {
+        let mut views = self.seats.iter().filter_map(|seat| seat.process.as_ref()).map(|(_, fleet)| {
+            fleet.ask(|machine| (machine.superseded(), machine.digest(), machine.who().count()))
+        });
+        let speaking: Vec<(u64, usize)> =
+            views.by_ref().filter(|(superseded, ..)| !superseded).map(|(_, d, n)| (d, n)).collect();
+        speaking.iter().all(|view| view.0 == speaking[0].0 && view.1 == speaking.len())
+    }
+
+    /// What members have seen change.
+    fn hear(&mut self) {
+        let changes = std::mem::take(&mut *self.changes.borrow_mut());
+        let now = self.kernel.now();
+        for (observer, name, generation, _, to) in changes {
+            let gone = to == State::Gone;
+            self.judge.changed(time(now), observer, name.as_str(), generation, gone);
+            let seat = self.seats.iter().position(|seat| {
+                let of = |(_, fleet): &(Pid, Rc<Fleet<Sim>>)| {
+                    fleet.ask(|machine| machine.me().generation == generation)
+                };
+                seat.name == name && seat.process.as_ref().is_some_and(of)
+            });
+            let dead = self.deaths.iter().any(|(i, ..)| Some(*i) == seat);
+            if let Some(seat) = seat.filter(|_| !dead)
+                && matches!(to, State::Suspect | State::Gone)
+                && !self.plan.harmed(seat, time(now))
+                && !self.plan.harmed(observer, time(now))
+            {
+                self.wronged.0 += u64::from(!gone);
+                self.wronged.1 += u64::from(gone);
+            }
+            if matches!(to, State::Gone | State::Left) {
+                for (dead, _, knows) in &mut self.deaths {
+                    if self.seats[*dead].name == name && knows[observer].is_none() {
+                        knows[observer] = Some(now);
+                    }
+                }
+            }
+        }
+    }
+
+    fn report(&self) -> FleetReport {
+        let seconds = |from: Nanos, to: Nanos| (to.saturating_sub(from)) as f64 / 1e9;
+        let known = self.deaths.iter().filter_map(|(dead, at, knows)| {
+            let others: Vec<Option<Nanos>> = self
+                .seats
+                .iter()
+                .enumerate()
+                .filter(|(i, seat)| i != dead && seat.process.is_some())
+                .map(|(i, _)| knows[i])
+                .collect();
+            let all: Vec<Nanos> = others.iter().copied().collect::<Option<_>>()?;
+            Some((seconds(*at, *all.iter().min()?), seconds(*at, *all.iter().max()?)))
+        });
+        let lived: Nanos = self.seats.iter().map(|seat| seat.lived).sum();
+        let lived_s = (lived as f64 / 1e9).max(f64::MIN_POSITIVE);
+        let sum = |pick: fn(&Seat) -> u64| self.seats.iter().map(pick).sum::<u64>() as f64;
+        let quiet = self.plan.quiet_from.as_nanos() as Nanos;
+        FleetReport {
+            script: self.plan.name.clone(),
+            seed: self.plan.seed,
+            members: self.plan.first,
+            seconds: self.kernel.now() as f64 / 1e9,
+            known_s: known.collect(),
+            wronged: self.wronged,
+            member_hours: lived_s / 3600.0,
+            equal_s: self.equal_since.map(|at| seconds(quiet, at)),
+            datagrams_s: sum(|seat| seat.sent.0) / lived_s,
+            bytes_s: (sum(|seat| seat.sent.1) + self.exchanged as f64) / lived_s,
+            exchange_bytes_s: self.exchanged as f64 / lived_s,
+            broken: self.judge.broken.clone(),
+        }
+    }
+}
+
+impl Drop for FleetRun {
+    fn drop(&mut self) {
+        self.kernel.shut();
+    }
+}
--- a/crates/emulator/src/kernel.rs
+++ b/crates/emulator/src/kernel.rs
@@ -305,6 +305,11 @@
         }
     }
 
+    /// Whether a process is stopped.
+    pub fn stopped(&self, pid: Pid) -> bool {
+        self.stopped.borrow().iter().any(|(held, _)| *held == pid)
+    }
+
     /// It goes on.
     pub fn go_on(&self, pid: Pid) {
         let mut stopped = self.stopped.borrow_mut();
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod dice;
 pub mod discovery;
 pub mod emulator;
+pub mod fleet;
 pub mod judge;
 pub mod kernel;
 pub mod net;
--- a/crates/membership/src/machine.rs
+++ b/crates/membership/src/machine.rs
@@ -19,6 +19,8 @@
 const ALONE: u32 = 3;
 /// Probes made for others at once, at most.
 const FOR_OTHERS: usize = 256;
+/// One that is alone asks so many seeds at a time.
+const SEEDS: usize = 5;
 /// Who leaves tells so many at once.
 const FAREWELL: usize = 8;
 
@@ -213,7 +215,8 @@
         }
         let favour = self.favours.front().map(|favour| favour.ends);
         let suspicion = self.suspects.iter().filter_map(|name| self.members.get(name)).map(|m| m.until);
-        favour.into_iter().chain(suspicion).fold(at, Time::min)
+        // What became due only now is not late.
+        favour.into_iter().chain(suspicion).fold(at, Time::min).max(self.now)
     }
 
     /// What is to be done next.
@@ -437,12 +440,15 @@
             Kind::Nack { seq } => {
                 if let Some(probe) = self.probe.as_mut().filter(|probe| probe.seq == seq) {
                     probe.nacks += 1;
+                    // Who asked and was answered, be it with a no, is heard.
+                    self.failed = 0;
                 }
             }
             Kind::Ask { seq, name, generation, ip, port } => {
                 if self.favours.len() < FOR_OTHERS {
                     let mine = self.seq();
-                    let ends = self.now + self.timing().direct;
+                    // In time for whoever asks: its own probe ends when as much again has passed.
+                    let ends = self.now + self.timing().direct.mul_f64(0.6);
                     let for_whom = from.address();
                     self.favours.push_back(Favour { seq: mine, for_whom, their_seq: seq, ends });
                     let to = SocketAddrV4::new(ip.into(), port);
@@ -950,9 +956,11 @@
             self.config.seeds.iter().copied().filter(|at| *at != mine && !known.contains(at)).collect();
         if self.there == 0 && !self.superseded && !self.leaving && !seeds.is_empty() {
             // Alone: a whole view is asked for, now here, now there.
-            let seed = seeds[self.rng.usize(..seeds.len())];
-            self.out.push_back(Output::Exchange(seed));
-            self.wildcard(seed);
+            let first = self.rng.usize(..seeds.len());
+            self.out.push_back(Output::Exchange(seeds[first]));
+            for seed in seeds.iter().cycle().skip(first).take(seeds.len().min(SEEDS)) {
+                self.wildcard(*seed);
+            }
         } else if self.parts().tries_gone && !self.superseded && !self.leaving {
             let gone = self.gone.len();
             let pick = self.rng.usize(..(gone + seeds.len()).max(1));
--- /dev/null
+++ b/crates/script/src/file.rs
@@ -0,0 +1,255 @@
+//! The file: a `[fleet]` and its `[[fault]]`s, every figure exact or a range to draw from.
+
+use cometcroft_tomlfile::{FileError, Span, Time};
+use serde::{Deserialize, Serialize};
+use std::path::Path;
+
+/// The fleet.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct FleetSection {
+    /// The script's name.
+    pub name: String,
+    /// Members; a command line may say another number.
+    pub members: Span,
+    /// Its zones, which members take in turn.
+    pub zones: Vec<String>,
+    /// How long it is played.
+    pub length: Time,
+    /// The longest pause that members are told to bear.
+    pub longest_pause: Time,
+    /// So many of the members are seeds, the first ones.
+    pub seeds: Span,
+    /// Members start within this time.
+    pub start: Time,
+    /// Requests a second on each member, on real processes.
+    pub load: Span,
+    /// The seed that it is played under if none is given.
+    pub seed: Option<u64>,
+}
+
+impl Default for FleetSection {
+    fn default() -> FleetSection {
+        FleetSection {
+            name: String::new(),
+            members: Span(5.0, 5.0),
+            zones: vec!["a".into(), "b".into()],
+            length: Time(20.0, 20.0),
+            longest_pause: Time(2.0, 2.0),
+            seeds: Span(2.0, 2.0),
+            start: Time(0.0, 0.3),
+            load: Span(10.0, 10.0),
+            seed: None,
+        }
+    }
+}
+
+/// What goes wrong.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Kind {
+    /// A process is stopped, and goes on after `for`.
+    Pause,
+    /// A process is killed for good.
+    Kill,
+    /// A process is killed and starts again `after` that, under its name and address.
+    Restart,
+    /// A process is asked to leave, and does not come back.
+    Terminate,
+    /// New members start.
+    Join,
+    /// A second process starts under a member's name, at an address of its own.
+    Twin,
+    /// A killed process' address is taken by a member of another name, `after` that.
+    Usurp,
+    /// Nothing passes from `from` to `to`.
+    Cut,
+    /// A `share` of the datagrams is lost.
+    Loss,
+    /// Datagrams are `delay` later, and up to `jitter` more, so that they overtake one another.
+    Late,
+    /// A `share` of the datagrams arrives twice.
+    Copies,
+    /// In a `share` of the datagrams a byte is turned over.
+    Turned,
+    /// The fleet falls into sides of these `sides`, as shares; nothing passes between them.
+    Split,
+    /// A zone is cut off from the others.
+    Zone,
+    /// So many datagrams a second that make no sense come to a member.
+    Garbage,
+}
+
+/// A fault.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Fault {
+    /// What.
+    pub kind: Kind,
+    /// When.
+    pub at: Time,
+    /// For how long.
+    #[serde(rename = "for", default, skip_serializing_if = "Option::is_none")]
+    pub lasting: Option<Time>,
+    /// How often it comes, each drawn anew.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub times: Option<Span>,
+    /// So long after one ends the next begins, in place of drawn anew.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub every: Option<Time>,
+    /// Whom it hits: a member's name; drawn if neither this nor `share` is given.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub target: Option<String>,
+    /// What share of the members it hits; for loss, copies and turned bytes the share of datagrams.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub share: Option<Span>,
+    /// Whose sending: a name, `zone:NAME`, `all` or `rest` (all but `to`).
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub from: Option<String>,
+    /// To whom, likewise (`rest`: all but `from`).
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub to: Option<String>,
+    /// Both directions.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub both: bool,
+    /// Shares of the sides.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub sides: Vec<f64>,
+    /// So much later.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub delay: Option<Time>,
+    /// And up to this much more.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub jitter: Option<Time>,
+    /// So long after a kill.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub after: Option<Time>,
+    /// How many: members that join, datagrams a second of garbage.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub count: Option<Span>,
+}
+
+/// A script.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Script {
+    /// The fleet.
+    pub fleet: FleetSection,
+    /// What goes wrong.
+    #[serde(rename = "fault", default)]
+    pub faults: Vec<Fault>,
+    /// The lines on which the faults stand.
+    #[serde(skip)]
+    pub lines: Vec<usize>,
+}
+
+macro_rules! shipped {
+    ($($name:literal),* $(,)?) => {
+        /// The scripts that come with the program: name and text.
+        pub const SHIPPED: &[(&str, &str)] =
+            &[$(($name, include_str!(concat!("../scripts/", $name, ".toml")))),*];
+    };
+}
+
+shipped![
+    "calm",
+    "pauses",
+    "third-paused",
+    "kill",
+    "leave",
+    "restarts",
+    "loss",
+    "jumbled",
+    "one-pair",
+    "mute",
+    "deaf",
+    "split",
+    "split-three",
+    "split-again",
+    "flapping-zone",
+    "seeds-cut-off",
+    "one-seed-up",
+    "twin",
+    "usurped",
+    "garbage",
+    "half-gone",
+    "doubled",
+];
+
+impl Script {
+    /// Reads a script; `file` is only named in errors.
+    pub fn parse(text: &str, file: &str) -> Result<Script, FileError> {
+        let mut script: Script = cometcroft_tomlfile::read(text, file)?;
+        let places: Vec<usize> = text.match_indices("[[fault]]").map(|(at, _)| at).collect();
+        let line = |at: usize| text[..at].matches('\n').count() + 1;
+        script.lines = places.iter().map(|&at| line(at)).collect();
+        script.check().map_err(|(fault, field, reason)| {
+            let table = fault.and_then(|i| places.get(i).copied()).unwrap_or(0);
+            let at = text[table..].find(&format!("\n{field}")).map_or(table, |at| table + at + 1);
+            FileError::at(file, text, at, field, reason)
+        })?;
+        Ok(script)
+    }
+
+    /// A shipped script by its name, or else one in a file of that path.
+    pub fn find(name: &str) -> Result<Script, FileError> {
+        match SHIPPED.iter().find(|(shipped, _)| *shipped == name) {
+            Some((_, text)) => Script::parse(text, name),
+            None => {
+                let text = std::fs::read_to_string(Path::new(name)).map_err(|e| FileError::of(name, e))?;
+                Script::parse(&text, name)
+            }
+        }
+    }
+
+    /// What no single field shows: which fault, the field, the reason.
+    fn check(&self) -> Result<(), (Option<usize>, &'static str, &'static str)> {
+        let fleet = &self.fleet;
+        if fleet.members.0 < 1.0 || fleet.members.1 > 2000.0 {
+            return Err((None, "members", "must be between 1 and 2000"));
+        }
+        if fleet.zones.is_empty() {
+            return Err((None, "zones", "must not be empty"));
+        }
+        if fleet.seeds.0 < 1.0 {
+            return Err((None, "seeds", "must be at least 1"));
+        }
+        if fleet.longest_pause.0 < 0.1 {
+            return Err((None, "longest_pause", "must be at least 100ms"));
+        }
+        for (i, fault) in self.faults.iter().enumerate() {
+            use Kind::*;
+            let kind = fault.kind;
+            let need = |field, has: bool, wanted: bool| match (has, wanted) {
+                (true, false) => Err((Some(i), field, "this kind of fault has none")),
+                (false, true) => Err((Some(i), field, "this kind of fault needs it")),
+                _ => Ok(()),
+            };
+            let wire = matches!(kind, Cut | Loss | Late | Copies | Turned);
+            let lasting = wire || matches!(kind, Pause | Split | Zone | Garbage);
+            need("for", fault.lasting.is_some(), lasting)?;
+            need("from", fault.from.is_some(), wire)?;
+            need("to", fault.to.is_some(), wire)?;
+            need("sides", !fault.sides.is_empty(), kind == Split)?;
+            need("after", fault.after.is_some(), matches!(kind, Restart | Usurp))?;
+            need("count", fault.count.is_some(), matches!(kind, Join | Garbage))?;
+            need("delay", fault.delay.is_some(), kind == Late)?;
+            if fault.jitter.is_some() && kind != Late {
+                return Err((Some(i), "jitter", "this kind of fault has none"));
+            }
+            if matches!(kind, Loss | Copies | Turned) {
+                need("share", fault.share.is_some(), true)?;
+            }
+            if fault.share.is_some_and(|share| share.1 > 1.0) {
+                return Err((Some(i), "share", "is at most 1"));
+            }
+            if kind == Zone && !fault.target.as_ref().is_some_and(|zone| fleet.zones.contains(zone)) {
+                return Err((Some(i), "target", "must name one of the zones"));
+            }
+            if kind == Split && (fault.sides.len() < 2 || fault.sides.iter().any(|s| *s <= 0.0)) {
+                return Err((Some(i), "sides", "wants two shares at least, all over 0"));
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/script/src/judge.rs
@@ -0,0 +1,283 @@
+//! The judge of a fleet: it knows what was done to whom, hears what each member says of its view, and holds the rules.
+
+use crate::plan::{Doing, Plan};
+use serde::Serialize;
+use std::collections::BTreeMap;
+use std::fmt;
+use std::time::Duration;
+
+/// A rule of a fleet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Rule {
+    /// A member that lives, and that no fault may rightly make look gone, is called gone.
+    AliveCalledGone,
+    /// A member that is dead or has left is still held to be there.
+    DeadStillThere,
+    /// Long after the last fault a member does not see exactly those who are there.
+    ViewsDiffer,
+    /// A start is listed after a younger one of its name.
+    OldStartWins,
+    /// The count of those at work fell without lasting, or while less than half was reached, or is under the view.
+    CountFell,
+    /// Of two processes with one name the older one does not fall silent.
+    TwinSpeaks,
+}
+
+/// A broken rule.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct Broken {
+    /// Which.
+    pub rule: Rule,
+    /// When.
+    pub at: Duration,
+    /// Whose view broke it.
+    pub observer: String,
+    /// What was seen.
+    pub what: String,
+    /// The script's line of the last act before.
+    pub line: usize,
+}
+
+impl fmt::Display for Broken {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let rule = serde_name(self.rule);
+        write!(f, "{rule} at {:.3} s by {}: {}", self.at.as_secs_f64(), self.observer, self.what)?;
+        if self.line > 0 { write!(f, " (script line {})", self.line) } else { Ok(()) }
+    }
+}
+
+fn serde_name(rule: Rule) -> &'static str {
+    match rule {
+        Rule::AliveCalledGone => "alive-called-gone",
+        Rule::DeadStillThere => "dead-still-there",
+        Rule::ViewsDiffer => "views-differ",
+        Rule::OldStartWins => "old-start-wins",
+        Rule::CountFell => "count-fell",
+        Rule::TwinSpeaks => "twin-speaks",
+    }
+}
+
+/// What a member says of its view.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Look {
+    /// Its own start.
+    pub generation: u64,
+    /// Who is there, with their starts; itself among them.
+    pub who: Vec<(String, u64)>,
+    /// How many it counts as at work.
+    pub at_work: u32,
+    /// How many it reaches, ...
+    pub reached: usize,
+    /// ... of so many that it knows.
+    pub known: usize,
+    /// A younger start has its name.
+    pub superseded: bool,
+}
+
+#[derive(Debug, Clone, Default)]
+struct Life {
+    generation: Option<u64>,
+    since: Duration,
+    alive: bool,
+    stopped: bool,
+    left: Option<Duration>,
+}
+
+#[derive(Debug, Default)]
+struct Seen {
+    youngest: BTreeMap<String, u64>,
+    /// What it counted, and when its view last held as many.
+    count: u32,
+    held: Vec<(u32, Duration)>,
+}
+
+/// The judge.
+pub struct Judge {
+    plan: Plan,
+    lives: Vec<Life>,
+    seen: Vec<Seen>,
+    line: usize,
+    /// How much more time everything may take than by the protocol: 1 on the virtual clock.
+    slack: f64,
+    /// What was broken, each rule once an observer.
+    pub broken: Vec<Broken>,
+}
+
+impl Judge {
+    /// A judge of a plan. `slack`: how many times longer things may take.
+    pub fn new(plan: &Plan, slack: f64) -> Judge {
+        let n = plan.members.len();
+        let seen = (0..n).map(|_| Seen::default()).collect();
+        Judge {
+            plan: plan.clone(),
+            lives: vec![Life::default(); n],
+            seen,
+            line: 0,
+            slack,
+            broken: Vec::new(),
+        }
+    }
+
+    fn bound(&self) -> Duration {
+        (self.plan.longest_pause * 5).mul_f64(self.slack)
+    }
+
+    fn settle(&self) -> Duration {
+        self.plan.longest_pause * 5
+    }
+
+    /// An act has been done.
+    pub fn done(&mut self, at: Duration, doing: &Doing, line: usize) {
+        if line > 0 {
+            self.line = line;
+        }
+        match doing {
+            Doing::Start(i) => {
+                self.lives[*i] = Life { since: at, alive: true, ..Life::default() };
+                // A new process knows nothing of what the one before counted.
+                self.seen[*i] = Seen::default();
+            }
+            Doing::Stop(i) => self.lives[*i].stopped = true,
+            Doing::GoOn(i) => self.lives[*i].stopped = false,
+            Doing::Kill(i) | Doing::Terminate(i) => {
+                self.lives[*i].alive = false;
+                self.lives[*i].left = Some(at);
+            }
+            Doing::Wire(..) | Doing::Garbage(..) => {}
+        }
+    }
+
+    /// A member's generation has become known.
+    pub fn known(&mut self, member: usize, generation: u64) {
+        self.lives[member].generation = Some(generation);
+    }
+
+    fn breaks(&mut self, rule: Rule, at: Duration, observer: usize, what: String) {
+        let observer = self.plan.members[observer].name.clone();
+        if !self.broken.iter().any(|b| b.rule == rule && b.observer == observer) {
+            self.broken.push(Broken { rule, at, observer, what, line: self.line });
+        }
+    }
+
+    /// A member has changed another's state; `gone`: to gone.
+    pub fn changed(&mut self, at: Duration, observer: usize, name: &str, generation: u64, gone: bool) {
+        if !gone || self.plan.harmed(observer, at) {
+            return;
+        }
+        let wronged = (0..self.plan.members.len()).find(|&i| {
+            let life = &self.lives[i];
+            self.plan.members[i].name == name && life.alive && life.generation == Some(generation)
+        });
+        if let Some(i) = wronged
+            && !self.plan.harmed(i, at)
+        {
+            self.breaks(Rule::AliveCalledGone, at, observer, format!("{name} is there"));
+        }
+    }
+
+    /// A member says what it sees.
+    pub fn look(&mut self, at: Duration, observer: usize, look: &Look) {
+        self.known(observer, look.generation);
+        let harmed = self.plan.harmed(observer, at);
+        self.look_at_starts(at, observer, look);
+        self.look_at_count(at, observer, look);
+        let bound = self.bound();
+        let young = at < self.lives[observer].since + bound;
+        if look.superseded || young {
+            return;
+        }
+        let quiet = at >= self.plan.quiet_from + bound;
+        if !harmed || quiet {
+            for (name, generation) in &look.who {
+                let lives = (0..self.plan.members.len()).filter(|&i| self.plan.members[i].name == *name);
+                let any_alive = lives.clone().any(|i| self.lives[i].alive);
+                let long = lives.clone().all(|i| self.lives[i].left.is_none_or(|left| left + bound <= at));
+                let tried = lives.clone().any(|i| self.lives[i].left.is_some());
+                if !any_alive && long && tried {
+                    let what = format!("{name} ({generation}) is not there");
+                    self.breaks(Rule::DeadStillThere, at, observer, what);
+                }
+            }
+        }
+        if quiet {
+            self.compare(at, observer, look);
+        }
+    }
+
+    /// Long after the last fault: who is there is seen by all, and nobody else is.
+    fn compare(&mut self, at: Duration, observer: usize, look: &Look) {
+        let mut truth: BTreeMap<&str, u64> = BTreeMap::new();
+        for (life, member) in self.lives.iter().zip(&self.plan.members) {
+            if !life.alive || life.stopped {
+                continue;
+            }
+            // Of two with one name the younger start counts.
+            let Some(generation) = life.generation else { return };
+            let entry = truth.entry(&member.name).or_default();
+            *entry = (*entry).max(generation);
+        }
+        let who: BTreeMap<&str, u64> = look.who.iter().map(|(n, g)| (n.as_str(), *g)).collect();
+        if who != truth {
+            let missing: Vec<&&str> = truth.keys().filter(|n| !who.contains_key(**n)).take(3).collect();
+            let surplus: Vec<&&str> = who.keys().filter(|n| !truth.contains_key(**n)).take(3).collect();
+            let what = format!(
+                "it sees {} of {}; missing {missing:?}, not there {surplus:?}",
+                who.len(),
+                truth.len()
+            );
+            self.breaks(Rule::ViewsDiffer, at, observer, what);
+        }
+    }
+
+    fn look_at_starts(&mut self, at: Duration, observer: usize, look: &Look) {
+        let mut old = None;
+        for (name, generation) in &look.who {
+            let youngest = self.seen[observer].youngest.entry(name.clone()).or_default();
+            if generation < youngest {
+                old = Some(format!("{name} of start {generation} after {youngest}"));
+            }
+            *youngest = (*youngest).max(*generation);
+        }
+        if let Some(what) = old {
+            self.breaks(Rule::OldStartWins, at, observer, what);
+        }
+        let twins =
+            |&i: &usize| i != observer && self.plan.members[i].name == self.plan.members[observer].name;
+        let other = (0..self.plan.members.len()).find(twins);
+        if let Some(other) = other.filter(|&other| self.lives[other].alive)
+            && !look.superseded
+            && self.lives[other].generation.is_some_and(|theirs| theirs > look.generation)
+            && at > self.lives[other].since + self.bound()
+        {
+            let what = "a younger process has its name".to_owned();
+            self.breaks(Rule::TwinSpeaks, at, observer, what);
+        }
+    }
+
+    fn look_at_count(&mut self, at: Duration, observer: usize, look: &Look) {
+        let (settle, who) = (self.settle().mul_f64(0.8), look.who.len() as u32);
+        let seen = &mut self.seen[observer];
+        let mut what = None;
+        if look.at_work < seen.count {
+            // When did its view last hold more than it counts now?
+            let lately = seen.held.iter().rev().find(|(held, _)| *held > look.at_work);
+            if lately.is_some_and(|(_, last)| *last + settle > at) {
+                what = Some(format!("from {} to {} within {settle:?}", seen.count, look.at_work));
+            }
+            if look.reached * 2 < look.known {
+                what =
+                    Some(format!("to {} while it reaches {} of {}", look.at_work, look.reached, look.known));
+            }
+        }
+        if look.at_work < who {
+            what = Some(format!("{} while it sees {who}", look.at_work));
+        }
+        seen.count = look.at_work;
+        seen.held.retain(|(held, last)| *held != who && *last + settle > at);
+        seen.held.push((who, at));
+        if let Some(what) = what {
+            self.breaks(Rule::CountFell, at, observer, what);
+        }
+    }
+}
--- /dev/null
+++ b/crates/script/src/lib.rs
@@ -0,0 +1,12 @@
+//! Scripts of faults in a fleet: the file ([`Script`]), one draw from it ([`Plan`]) as acts that the emulator and the rig
+//! of real processes both can play, and the [`Judge`] that both are judged by. `docs/fleet-rig.md` is the reference.
+#![forbid(unsafe_code)]
+#![deny(missing_docs)]
+
+mod file;
+mod judge;
+mod plan;
+
+pub use file::{Fault, FleetSection, Kind, SHIPPED, Script};
+pub use judge::{Broken, Judge, Look, Rule};
+pub use plan::{Act, Doing, MemberPlan, Plan, Wire};
--- /dev/null
+++ b/crates/script/src/plan.rs
@@ -0,0 +1,414 @@
+//! A plan: one draw from a script under a seed. Acts at their instants, which the emulator and the rig both can do, and
+//! whom each fault may harm.
+
+use crate::file::{Fault, Kind, Script};
+use std::time::Duration;
+
+/// What becomes of what one member sends another.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Wire {
+    /// Nothing passes.
+    pub cut: bool,
+    /// The share of datagrams lost.
+    pub loss: f64,
+    /// The share that comes twice.
+    pub copies: f64,
+    /// The share with a byte turned over.
+    pub turned: f64,
+    /// Later by this.
+    pub delay: Duration,
+    /// And up to this much more.
+    pub jitter: Duration,
+}
+
+impl Wire {
+    /// Both at once.
+    pub fn and(self, other: Wire) -> Wire {
+        Wire {
+            cut: self.cut || other.cut,
+            loss: 1.0 - (1.0 - self.loss) * (1.0 - other.loss),
+            copies: self.copies.max(other.copies),
+            turned: self.turned.max(other.turned),
+            delay: self.delay + other.delay,
+            jitter: self.jitter + other.jitter,
+        }
+    }
+}
+
+/// What is done.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Doing {
+    /// A member's process starts.
+    Start(usize),
+    /// It is stopped.
+    Stop(usize),
+    /// It goes on.
+    GoOn(usize),
+    /// It is killed.
+    Kill(usize),
+    /// It is asked to leave.
+    Terminate(usize),
+    /// From now on this fault is on what these send those; `None` takes it away. The number names the fault.
+    Wire(usize, Vec<usize>, Vec<usize>, Option<Wire>),
+    /// So many datagrams a second of nonsense come to a member from now on.
+    Garbage(usize, u32),
+}
+
+/// An act at its time.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Act {
+    /// When, from the beginning.
+    pub at: Duration,
+    /// What.
+    pub doing: Doing,
+    /// The line of the script that it comes from; 0 for the start.
+    pub line: usize,
+}
+
+/// A member.
+#[derive(Debug, Clone, PartialEq)]
+pub struct MemberPlan {
+    /// Its name.
+    pub name: String,
+    /// Its zone, by number.
+    pub zone: usize,
+    /// The number of its address: a member that takes another's has the same.
+    pub place: usize,
+}
+
+/// A time in which a fault may rightly make members look gone, or keep them from knowing.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Harm {
+    /// From when.
+    pub from: Duration,
+    /// Until when.
+    pub until: Duration,
+    /// Whom.
+    pub members: Vec<usize>,
+}
+
+/// One draw.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Plan {
+    /// The script's name.
+    pub name: String,
+    /// The seed.
+    pub seed: u64,
+    /// Its zones.
+    pub zones: Vec<String>,
+    /// All members, those that start later too.
+    pub members: Vec<MemberPlan>,
+    /// So many of the first are seeds.
+    pub seeds: usize,
+    /// So many are there from the beginning; settings say this number.
+    pub first: usize,
+    /// The longest pause that members bear.
+    pub longest_pause: Duration,
+    /// What is done, in order of time.
+    pub acts: Vec<Act>,
+    /// Whom it harms.
+    pub harms: Vec<Harm>,
+    /// When it ends.
+    pub length: Duration,
+    /// When the last fault has ended.
+    pub quiet_from: Duration,
+    /// Requests a second on each member.
+    pub load: f64,
+}
+
+struct Draw<'a> {
+    script: &'a Script,
+    rng: fastrand::Rng,
+    plan: Plan,
+    /// Whom a fault has taken for good.
+    spent: Vec<usize>,
+}
+
+fn time(rng: &mut fastrand::Rng, t: cometcroft_tomlfile::Time) -> Duration {
+    Duration::from_secs_f64(t.0 + (t.1 - t.0) * rng.f64())
+}
+
+fn span(rng: &mut fastrand::Rng, s: cometcroft_tomlfile::Span) -> f64 {
+    s.0 + (s.1 - s.0) * rng.f64()
+}
+
+impl Plan {
+    /// A script's draw under a seed, with so many members if that is said.
+    pub fn draw(script: &Script, seed: u64, members: Option<usize>) -> Plan {
+        let mut rng = fastrand::Rng::with_seed(seed ^ 0x9e37_79b9_7f4a_7c15);
+        let fleet = &script.fleet;
+        let drawn = span(&mut rng, fleet.members).round() as usize;
+        let first = members.unwrap_or(drawn).max(1);
+        let seeds = (span(&mut rng, fleet.seeds).round() as usize).clamp(1, first);
+        let zones = fleet.zones.len();
+        let member = |i: usize| MemberPlan { name: format!("m{}", i + 1), zone: i % zones, place: i };
+        let plan = Plan {
+            name: fleet.name.clone(),
+            seed,
+            zones: fleet.zones.clone(),
+            members: (0..first).map(member).collect(),
+            seeds,
+            first,
+            longest_pause: time(&mut rng, fleet.longest_pause),
+            acts: Vec::new(),
+            harms: Vec::new(),
+            length: time(&mut rng, fleet.length),
+            quiet_from: Duration::ZERO,
+            load: span(&mut rng, fleet.load),
+        };
+        let mut draw = Draw { script, rng, plan, spent: Vec::new() };
+        for i in 0..first {
+            let at = time(&mut draw.rng, fleet.start);
+            draw.act(at, Doing::Start(i), 0);
+        }
+        // Until all have started and heard of one another, nobody has to know anybody.
+        draw.harm(Duration::ZERO, Duration::from_secs_f64(fleet.start.1), (0..first).collect());
+        for (i, fault) in script.faults.iter().enumerate() {
+            let times = fault.times.map_or(1, |t| span(&mut draw.rng, t).round() as usize);
+            let mut at = time(&mut draw.rng, fault.at);
+            for _ in 0..times {
+                let ends = draw.fault(i, fault, at);
+                at = match fault.every {
+                    Some(every) => ends + time(&mut draw.rng, every),
+                    None => time(&mut draw.rng, fault.at),
+                };
+            }
+        }
+        let mut plan = draw.plan;
+        plan.acts.sort_by_key(|act| act.at);
+        plan.quiet_from = plan.acts.last().map_or(Duration::ZERO, |act| act.at);
+        plan
+    }
+
+    /// How long after a fault its harm may still show: suspicion runs out, and what was wronged is put right.
+    pub fn aftermath(&self) -> Duration {
+        self.longest_pause * 6 + Duration::from_secs(3)
+    }
+
+    /// Whether a member may rightly look gone, or not know, at this time.
+    pub fn harmed(&self, member: usize, at: Duration) -> bool {
+        self.harms.iter().any(|harm| {
+            harm.from <= at && at <= harm.until + self.aftermath() && harm.members.contains(&member)
+        })
+    }
+}
+
+impl Draw<'_> {
+    fn act(&mut self, at: Duration, doing: Doing, line: usize) {
+        self.plan.acts.push(Act { at, doing, line });
+    }
+
+    fn harm(&mut self, from: Duration, until: Duration, members: Vec<usize>) {
+        self.plan.harms.push(Harm { from, until, members });
+    }
+
+    fn all(&self) -> Vec<usize> {
+        (0..self.plan.members.len()).collect()
+    }
+
+    fn named(&self, name: &str) -> Option<usize> {
+        self.plan.members.iter().position(|m| m.name == name)
+    }
+
+    /// Whom a fault of processes hits.
+    fn targets(&mut self, fault: &Fault) -> Vec<usize> {
+        if let Some(name) = &fault.target {
+            return self.named(name).into_iter().collect();
+        }
+        let mut free: Vec<usize> = (0..self.plan.first).filter(|i| !self.spent.contains(i)).collect();
+        let most = match fault.share {
+            Some(share) => (span(&mut self.rng, share) * self.plan.first as f64).round() as usize,
+            None => 1,
+        };
+        let mut picked = Vec::new();
+        for _ in 0..most.max(1) {
+            if !free.is_empty() {
+                let at = self.rng.usize(..free.len());
+                picked.push(free.swap_remove(at));
+            }
+        }
+        picked
+    }
+
+    /// Whom a word of a fault of wires means; `other` is whom the other word means.
+    fn group(&mut self, word: &str, other: &[usize]) -> Vec<usize> {
+        match word {
+            "all" => self.all(),
+            "rest" => self.all().into_iter().filter(|i| !other.contains(i)).collect(),
+            "one" => {
+                let free: Vec<usize> = self.all().into_iter().filter(|i| !other.contains(i)).collect();
+                if free.is_empty() { Vec::new() } else { vec![free[self.rng.usize(..free.len())]] }
+            }
+            "seeds" => (0..self.plan.seeds).collect(),
+            word => match word.strip_prefix("zone:") {
+                Some(zone) => {
+                    let zone = self.plan.zones.iter().position(|z| z == zone);
+                    self.all().into_iter().filter(|&i| Some(self.plan.members[i].zone) == zone).collect()
+                }
+                None => self.named(word).into_iter().collect(),
+            },
+        }
+    }
+
+    /// Draws one coming of a fault; when it ends.
+    fn fault(&mut self, number: usize, fault: &Fault, at: Duration) -> Duration {
+        let line = self.script.lines.get(number).copied().unwrap_or(0);
+        let until = at + fault.lasting.map_or(Duration::ZERO, |t| time(&mut self.rng, t));
+        let pause = self.plan.longest_pause;
+        match fault.kind {
+            Kind::Pause => {
+                for i in self.targets(fault) {
+                    self.act(at, Doing::Stop(i), line);
+                    self.act(until, Doing::GoOn(i), line);
+                    if until - at > pause {
+                        self.harm(at, until, vec![i]);
+                    }
+                }
+            }
+            Kind::Kill | Kind::Terminate => {
+                for i in self.targets(fault) {
+                    self.spent.push(i);
+                    let leaves = fault.kind == Kind::Terminate;
+                    self.act(at, if leaves { Doing::Terminate(i) } else { Doing::Kill(i) }, line);
+                }
+            }
+            Kind::Restart => {
+                let mut last = at;
+                for i in self.targets(fault) {
+                    let back = at + fault.after.map_or(Duration::ZERO, |t| time(&mut self.rng, t));
+                    self.act(at, Doing::Kill(i), line);
+                    self.act(back, Doing::Start(i), line);
+                    self.harm(at, back, vec![i]);
+                    last = last.max(back);
+                }
+                return last;
+            }
+            Kind::Join => {
+                let count = fault.count.map_or(1, |c| span(&mut self.rng, c).round() as usize);
+                for _ in 0..count {
+                    let i = self.add(|n| format!("m{}", n + 1));
+                    self.act(at, Doing::Start(i), line);
+                    self.harm(at, at, vec![i]);
+                }
+            }
+            Kind::Twin => {
+                for of in self.targets(fault) {
+                    let name = self.plan.members[of].name.clone();
+                    let i = self.add(|_| name);
+                    self.spent.push(of);
+                    self.act(at, Doing::Start(i), line);
+                    self.harm(at, self.plan.length, vec![i, of]);
+                }
+            }
+            Kind::Usurp => {
+                for of in self.targets(fault) {
+                    let place = self.plan.members[of].place;
+                    let i = self.add(|n| format!("m{}", n + 1));
+                    self.plan.members[i].place = place;
+                    self.spent.push(of);
+                    let back = at + fault.after.map_or(Duration::ZERO, |t| time(&mut self.rng, t));
+                    self.act(at, Doing::Kill(of), line);
+                    self.act(back, Doing::Start(i), line);
+                    self.harm(at, back, vec![i, of]);
+                }
+            }
+            Kind::Cut | Kind::Loss | Kind::Late | Kind::Copies | Kind::Turned => {
+                self.wire(number, fault, at, until, line);
+            }
+            Kind::Split => {
+                let mut order = self.all();
+                self.rng.shuffle(&mut order);
+                let whole: f64 = fault.sides.iter().sum();
+                let (mut sides, mut from, mut reached) = (Vec::new(), 0, 0.0);
+                for share in &fault.sides {
+                    reached += share / whole * order.len() as f64;
+                    let to = (reached.round() as usize).min(order.len());
+                    sides.push(order[from..to].to_vec());
+                    from = to;
+                }
+                self.part(number, &sides, at, until, line);
+            }
+            Kind::Zone => {
+                let zone = self.plan.zones.iter().position(|z| Some(z) == fault.target.as_ref());
+                let (inside, outside) =
+                    self.all().into_iter().partition(|&i| Some(self.plan.members[i].zone) == zone);
+                self.part(number, &[inside, outside], at, until, line);
+            }
+            Kind::Garbage => {
+                let count = fault.count.map_or(1000, |c| span(&mut self.rng, c).round() as u32);
+                for i in self.targets(fault) {
+                    self.act(at, Doing::Garbage(i, count), line);
+                    self.act(until, Doing::Garbage(i, 0), line);
+                }
+            }
+        }
+        until
+    }
+
+    fn add(&mut self, name: impl FnOnce(usize) -> String) -> usize {
+        let n = self.plan.members.len();
+        let zone = n % self.plan.zones.len();
+        self.plan.members.push(MemberPlan { name: name(n), zone, place: n });
+        n
+    }
+
+    /// Nothing passes between sides. Danger of judging: the sides rightly call each other gone.
+    fn part(&mut self, number: usize, sides: &[Vec<usize>], at: Duration, until: Duration, line: usize) {
+        let cut = Wire { cut: true, ..Wire::default() };
+        for (a, b) in sides.iter().enumerate().flat_map(|(i, a)| {
+            sides.iter().enumerate().filter(move |(j, _)| i != *j).map(move |(_, b)| (a, b))
+        }) {
+            self.act(at, Doing::Wire(number, a.clone(), b.clone(), Some(cut)), line);
+            self.act(until, Doing::Wire(number, a.clone(), b.clone(), None), line);
+        }
+        let all = self.all();
+        self.harm(at, until, all);
+    }
+
+    fn wire(&mut self, number: usize, fault: &Fault, at: Duration, until: Duration, line: usize) {
+        let (from, to) = (fault.from.clone().unwrap_or_default(), fault.to.clone().unwrap_or_default());
+        // `rest` and `one` mean others than the other word, so that one is read first.
+        let later = |word: &str| matches!(word, "rest" | "one");
+        let (from, to) = if later(&from) && !later(&to) {
+            let to = self.group(&to, &[]);
+            (self.group(&from, &to), to)
+        } else {
+            let from = self.group(&from, &[]);
+            let to = self.group(&to, &from);
+            (from, to)
+        };
+        let share = fault.share.map_or(0.0, |s| span(&mut self.rng, s));
+        let mut wire = Wire::default();
+        match fault.kind {
+            Kind::Cut => wire.cut = true,
+            Kind::Loss => wire.loss = share,
+            Kind::Copies => wire.copies = share,
+            Kind::Turned => wire.turned = share,
+            _ => {
+                wire.delay = fault.delay.map_or(Duration::ZERO, |t| time(&mut self.rng, t));
+                wire.jitter = fault.jitter.map_or(Duration::ZERO, |t| time(&mut self.rng, t));
+            }
+        }
+        let ways = if fault.both { vec![(&from, &to), (&to, &from)] } else { vec![(&from, &to)] };
+        for (from, to) in ways {
+            self.act(at, Doing::Wire(number, from.clone(), to.clone(), Some(wire)), line);
+            self.act(until, Doing::Wire(number, from.clone(), to.clone(), None), line);
+        }
+        // A cut of one pair harms nobody; one of many harms the few that are cut off; lost words up to a tenth, and
+        // lateness well under a probe's patience, harm nobody.
+        let patience = self.plan.longest_pause / 20;
+        let mild = wire.loss <= 0.1 && wire.turned <= 0.1 && wire.delay + wire.jitter <= patience;
+        match wire.cut {
+            true if from.len() == 1 && to.len() == 1 => {}
+            true => {
+                let harmed = if from.len() < to.len() { from } else { to };
+                self.harm(at, until, harmed);
+            }
+            false if mild => {}
+            false => {
+                let all = self.all();
+                self.harm(at, until, all);
+            }
+        }
+    }
+}
