A rig of real processes with faults between any two; sidecars are members of their fleet

Nothing here could start several processes and put a fault between two of them, and every sum over the fleet was divided by a fixed number.

Change: crates/rig starts processes of the program, each at an address of its own, behind a relay that owns the advertised addresses and has rules by ordered pair; stand-ins for discovery and backend servers, an open-loop load, a guard that ends every process however the rig ends. [fleet] in the operator's file (deploy/operator.toml, cometcroft check) makes a sidecar a member; what it counts as at work reaches the module as settings (no line of policy was needed); GET /ops/fleet tells its view; changes are logged as lines of JSON. Without the file nothing of it exists.

--- a/crates/emulator/src/emulator/sidecars.rs
+++ b/crates/emulator/src/emulator/sidecars.rs
@@ -67,6 +67,7 @@
             control: control.clone(),
             life: life.clone(),
             counters: counters.clone(),
+            fleet: None,
         };
         self.kernel.spawn(pid, async move {
             match defect {
--- a/crates/emulator/src/fleet.rs
+++ b/crates/emulator/src/fleet.rs
@@ -399,7 +399,9 @@
 
     fn report(&self) -> FleetReport {
         let seconds = |from: Nanos, to: Nanos| (to.saturating_sub(from)) as f64 / 1e9;
-        let known = self.deaths.iter().filter_map(|(dead, at, knows)| {
+        // Who was started again was not to be known as dead.
+        let for_good = self.deaths.iter().filter(|(dead, ..)| self.seats[*dead].life == 1);
+        let known = for_good.filter_map(|(dead, at, knows)| {
             let others: Vec<Option<Nanos>> = self
                 .seats
                 .iter()
--- a/crates/membership/src/machine.rs
+++ b/crates/membership/src/machine.rs
@@ -468,18 +468,19 @@
     /// Somebody speaks for itself; whether the rest of its message counts.
     fn hear(&mut self, from: &Record, state: State) -> bool {
         let parts = self.parts();
-        if let Some(member) = self.members.get(&from.name) {
-            if from.generation < member.record.generation && parts.generations {
-                // Danger: what an earlier life sent may arrive only now; but one that goes on sending lives.
-                if self.now > member.born + self.timing().longest_pause {
-                    self.twins += 1;
-                    let claim = self.claim_about(&from.name);
-                    self.send(from.address(), from.formats.1, Kind::Gossip, claim);
-                } else {
-                    self.dropped.stale += 1;
-                }
-                return false;
+        let known = self.members.get(&from.name).map(|m| (m.record.generation, m.born));
+        if let Some((_, born)) = known.filter(|(younger, _)| from.generation < *younger)
+            && parts.generations
+        {
+            // Danger: what an earlier life sent may arrive only now; but one that goes on sending lives.
+            if self.now > born + self.timing().longest_pause {
+                self.twins += 1;
+                let claim = self.claim_about(&from.name);
+                self.send(from.address(), from.formats.1, Kind::Gossip, claim);
+            } else {
+                self.dropped.stale += 1;
             }
+            return false;
         }
         let by = from.name.clone();
         self.apply(Claim { record: from.clone(), state, by });
--- /dev/null
+++ b/crates/rig/src/fleet.rs
@@ -0,0 +1,684 @@
+//! A fleet of real processes under a script: acts at their times, looks through the operators' doors, changes from the
+//! logs, one judge.
+
+use crate::load::{Ended, Outcomes, request};
+use crate::process::{Guard, Process};
+use crate::relay::Relay;
+use crate::standin::{Backends, hear};
+use cometcroft_script::{Act, Broken, Doing, Judge, Look, Plan, Rule, Wire};
+use serde::Serialize;
+use serde_json::{Value, json};
+use std::io::{self, BufRead, BufReader, Write};
+use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
+use std::path::PathBuf;
+use std::process::{Command, Stdio};
+use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU32, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError, mpsc};
+use std::time::{Duration, Instant};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
+/// Doors are asked so often.
+const LOOK: Duration = Duration::from_millis(250);
+/// A door that has not answered by then is asked again later.
+const PATIENCE: Duration = Duration::from_secs(2);
+/// How much longer things may take than by the protocol, as the machine has other work.
+const SLACK: f64 = 3.0;
+/// Views have to be equal and true so long after the last act, at the latest.
+const EVENTUALLY: Duration = Duration::from_secs(45);
+/// A process that was asked to leave has to be gone by then.
+const LEAVE: Duration = Duration::from_secs(15);
+/// Members that the rig plays at most.
+const MOST: usize = 60;
+
+/// How a fleet is run.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// The program `cometcroft`.
+    pub program: PathBuf,
+    /// Where logs are kept, if anywhere.
+    pub logs: Option<PathBuf>,
+    /// Backend servers.
+    pub backends: usize,
+    /// Go on after the last act until somebody says stop, instead of until all views are equal.
+    pub until: Option<Arc<AtomicBool>>,
+}
+
+/// What is told while it runs: the time, and a line for each member.
+pub type Watch<'a> = &'a mut dyn FnMut(Duration, &[String], Outcomes);
+
+/// What came of a run.
+#[derive(Debug, Clone, Serialize)]
+pub struct RigReport {
+    /// The script.
+    pub script: String,
+    /// The seed.
+    pub seed: u64,
+    /// Processes at the beginning.
+    pub processes: usize,
+    /// Seconds it took.
+    pub seconds: f64,
+    /// For each that died: until the first, and until all others knew.
+    pub known_s: Vec<(f64, f64)>,
+    /// From the last act until all views were equal and true.
+    pub equal_s: Option<f64>,
+    /// Requests by outcome.
+    pub requests: Outcomes,
+    /// Requests that the backend servers received.
+    pub received: u64,
+    /// Datagrams passed on, their bytes, and those lost on purpose.
+    pub datagrams: (u64, u64, u64),
+    /// Rules that were broken.
+    pub broken: Vec<Broken>,
+    /// Processes that ended as they should not have.
+    pub crashed: Vec<String>,
+}
+
+struct Seat {
+    name: String,
+    zone: String,
+    place: usize,
+    listen: SocketAddr,
+    ops: SocketAddr,
+    files: PathBuf,
+    process: Option<Process>,
+    /// Counts what was done to it, so that a request can tell whether it was left alone.
+    touched: Arc<AtomicU32>,
+    state: Arc<AtomicU8>,
+    garbage: Arc<AtomicU32>,
+    leaving: Option<Instant>,
+    lives: u32,
+    last: Option<Look>,
+    line: String,
+}
+
+/// The states of a life: over, running, stopped.
+const OVER: u8 = 0;
+const RUNS: u8 = 1;
+const STOPPED: u8 = 2;
+
+impl Seat {
+    fn runs(&self) -> bool {
+        self.state.load(Ordering::SeqCst) == RUNS
+    }
+
+    fn put(&self, state: u8) {
+        self.state.store(state, Ordering::SeqCst);
+    }
+}
+
+/// A change that a member's log told: when, who saw it, whom it concerns, which start, the new state.
+type Told = (Instant, usize, u32, String, u64, String);
+
+struct Rig<'a> {
+    plan: &'a Plan,
+    options: &'a Options,
+    guard: Guard,
+    relay: Arc<Relay>,
+    backends: Backends,
+    seats: Vec<Seat>,
+    judge: Judge,
+    began: Instant,
+    wires: Vec<(usize, usize, usize, Wire)>,
+    told: (mpsc::Sender<Told>, mpsc::Receiver<Told>),
+    deaths: Vec<(usize, Duration, Vec<Option<Duration>>)>,
+    outcomes: Arc<Mutex<Outcomes>>,
+    lost: Arc<Mutex<Vec<(usize, Duration)>>>,
+    crashed: Vec<String>,
+    files: PathBuf,
+}
+
+static COUNT: AtomicU64 = AtomicU64::new(0);
+
+/// Runs a plan on real processes.
+pub fn run(plan: &Plan, options: &Options, watch: Watch<'_>) -> io::Result<RigReport> {
+    if plan.members.len() > MOST {
+        return Err(io::Error::other(format!("the rig plays {MOST} processes at most")));
+    }
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build()?;
+    let report = runtime.block_on(async {
+        let mut rig = Rig::new(plan, options).await?;
+        let report = rig.play(watch).await;
+        let files = rig.files.clone();
+        drop(rig);
+        let _ = std::fs::remove_dir_all(files);
+        report
+    });
+    runtime.shutdown_timeout(Duration::from_secs(1));
+    report
+}
+
+/// A port of an address that the system picks; nobody else uses the address.
+fn free(ip: Ipv4Addr) -> io::Result<SocketAddr> {
+    std::net::TcpListener::bind((ip, 0))?.local_addr()
+}
+
+impl<'a> Rig<'a> {
+    async fn new(plan: &'a Plan, options: &'a Options) -> io::Result<Rig<'a>> {
+        // Blocks of addresses of this run alone: several runs go on side by side.
+        let run = COUNT.fetch_add(1, Ordering::Relaxed) as u32;
+        let block = (std::process::id().wrapping_mul(31).wrapping_add(run) % (100 * 200)) as u16;
+        let (b, c) = (100 + (block / 200) as u8, (block % 200) as u8);
+        let own = move |i: usize| Ipv4Addr::new(127, b, c, 1 + i as u8);
+        let reached = move |i: usize| Ipv4Addr::new(127, b, c, 101 + i as u8);
+        let rest = Ipv4Addr::new(127, b, c, 250);
+        let places = plan.members.iter().map(|m| m.place + 1).max().unwrap_or(0);
+        let relay = Relay::start(places, own, reached, plan.seed).await?;
+        let backends = Backends::start(rest, options.backends, &plan.zones, Duration::from_millis(5)).await?;
+        let files = std::env::temp_dir().join(format!("cometcroft-rig-{}-{run}", std::process::id()));
+        std::fs::create_dir_all(&files)?;
+        if let Some(logs) = &options.logs {
+            std::fs::create_dir_all(logs)?;
+        }
+        let mut seats = Vec::new();
+        for (i, member) in plan.members.iter().enumerate() {
+            seats.push(Seat {
+                name: member.name.clone(),
+                zone: plan.zones[member.zone].clone(),
+                place: member.place,
+                listen: free(own(member.place))?,
+                ops: free(own(member.place))?,
+                files: files.join(format!("{i}")),
+                process: None,
+                touched: Arc::default(),
+                state: Arc::default(),
+                garbage: Arc::default(),
+                leaving: None,
+                lives: 0,
+                last: None,
+                line: String::new(),
+            });
+        }
+        Ok(Rig {
+            plan,
+            options,
+            guard: Guard::start()?,
+            relay,
+            backends,
+            seats,
+            judge: Judge::new(plan, SLACK),
+            began: Instant::now(),
+            wires: Vec::new(),
+            told: mpsc::channel(),
+            deaths: Vec::new(),
+            outcomes: Arc::default(),
+            lost: Arc::default(),
+            crashed: Vec::new(),
+            files,
+        })
+    }
+
+    fn now(&self) -> Duration {
+        self.began.elapsed()
+    }
+
+    async fn play(&mut self, watch: Watch<'_>) -> io::Result<RigReport> {
+        self.began = Instant::now();
+        let acts: Vec<Act> = self.plan.acts.clone();
+        let mut next = 0;
+        let mut equal = None;
+        let ended = loop {
+            while next < acts.len() && acts[next].at <= self.now() {
+                let Act { doing, line, .. } = acts[next].clone();
+                self.act(&doing)?;
+                self.judge.done(self.now(), &doing, line);
+                next += 1;
+            }
+            self.look_at_processes();
+            let all_equal = self.look().await;
+            self.hear();
+            let lines: Vec<String> = self.seats.iter().map(|seat| seat.line.clone()).collect();
+            watch(self.now(), &lines, self.outcomes());
+            let now = self.now();
+            if next >= acts.len() {
+                if !all_equal {
+                    equal = None;
+                } else if equal.is_none() {
+                    equal = Some(now);
+                }
+                let stop = self.options.until.as_ref().map(|stop| stop.load(Ordering::Relaxed));
+                match stop {
+                    Some(true) => break now,
+                    Some(false) => {}
+                    // Equal for a while, and whoever was asked to leave is gone.
+                    None => {
+                        let settled = equal.is_some_and(|at| now > at + Duration::from_secs(1));
+                        let leaving = self.seats.iter().any(|seat| seat.leaving.is_some());
+                        if settled && !leaving || now > self.plan.quiet_from + EVENTUALLY {
+                            break now;
+                        }
+                    }
+                }
+            }
+            let wait = acts.get(next).map_or(LOOK, |act| act.at.saturating_sub(self.now()).min(LOOK));
+            tokio::time::sleep(wait).await;
+        };
+        if self.options.until.is_none() {
+            self.judge_the_end(ended);
+        }
+        self.close().await;
+        self.hear();
+        Ok(self.report(ended, equal))
+    }
+
+    /// What must hold at the end, however long it took.
+    fn judge_the_end(&mut self, at: Duration) {
+        let looks: Vec<(usize, Look)> =
+            self.seats.iter().enumerate().filter_map(|(i, s)| Some((i, s.last.clone()?))).collect();
+        for (i, look) in looks.iter().filter(|(_, look)| !look.superseded) {
+            self.judge.compare(at, *i, look);
+        }
+    }
+
+    fn act(&mut self, doing: &Doing) -> io::Result<()> {
+        let touch = |seat: &Seat| seat.touched.fetch_add(1, Ordering::SeqCst);
+        match doing {
+            Doing::Start(i) => self.start(*i)?,
+            Doing::Stop(i) => {
+                touch(&self.seats[*i]);
+                self.seats[*i].put(STOPPED);
+                self.seats[*i].last = None;
+                if let Some(process) = &mut self.seats[*i].process {
+                    process.stop();
+                }
+            }
+            Doing::GoOn(i) => {
+                touch(&self.seats[*i]);
+                if let Some(process) = &mut self.seats[*i].process {
+                    process.go_on();
+                    self.seats[*i].put(RUNS);
+                }
+            }
+            Doing::Kill(i) => {
+                touch(&self.seats[*i]);
+                self.died(*i);
+                let seat = &mut self.seats[*i];
+                seat.put(OVER);
+                seat.last = None;
+                if let Some(mut process) = seat.process.take() {
+                    process.kill();
+                }
+            }
+            Doing::Terminate(i) => {
+                touch(&self.seats[*i]);
+                self.died(*i);
+                let seat = &mut self.seats[*i];
+                seat.put(OVER);
+                seat.last = None;
+                if let Some(process) = &mut seat.process {
+                    process.terminate();
+                    seat.leaving = Some(Instant::now());
+                }
+            }
+            Doing::Wire(fault, from, to, wire) => {
+                for &a in from {
+                    for &b in to.iter().filter(|b| **b != a) {
+                        self.wires.retain(|(f, x, y, _)| (*f, *x, *y) != (*fault, a, b));
+                        if let Some(wire) = wire {
+                            self.wires.push((*fault, a, b, *wire));
+                        }
+                        let on = self.wires.iter().filter(|(_, x, y, _)| (*x, *y) == (a, b));
+                        let all = on.fold(Wire::default(), |all, (.., wire)| all.and(*wire));
+                        self.relay.wire(self.seats[a].place, self.seats[b].place, all);
+                    }
+                }
+            }
+            Doing::Garbage(i, rate) => self.garbage(*i, *rate)?,
+        }
+        Ok(())
+    }
+
+    /// Sends datagrams that make no sense, from an address that is nobody's, in a thread of its own.
+    fn garbage(&self, i: usize, rate: u32) -> io::Result<()> {
+        let seat = &self.seats[i];
+        seat.garbage.store(rate, Ordering::SeqCst);
+        if rate == 0 {
+            return Ok(());
+        }
+        let place = self.relay.place(seat.place);
+        let mut from = place.own.ip().octets();
+        from[3] = 240;
+        let socket = UdpSocket::bind((Ipv4Addr::from(from), 0))?;
+        let (wanted, seed) = (seat.garbage.clone(), self.plan.seed);
+        std::thread::spawn(move || {
+            let mut rng = fastrand::Rng::with_seed(seed);
+            let began = Instant::now();
+            let mut sent = 0u64;
+            // Bounded by the script, and by a minute.
+            while wanted.load(Ordering::SeqCst) > 0 && began.elapsed() < Duration::from_secs(60) {
+                let due = (began.elapsed().as_secs_f64() * f64::from(rate)) as u64;
+                while sent < due {
+                    let bytes: Vec<u8> = (0..rng.usize(..1300)).map(|_| rng.u8(..)).collect();
+                    let _ = socket.send_to(&bytes, place.own);
+                    sent += 1;
+                }
+                std::thread::sleep(Duration::from_millis(1));
+            }
+        });
+        Ok(())
+    }
+
+    fn start(&mut self, i: usize) -> io::Result<()> {
+        if self.seats[i].process.is_some() {
+            return Ok(());
+        }
+        let seeds: Vec<String> = (0..self.plan.seeds)
+            .map(|s| format!("\"{}\"", self.relay.place(self.seats[s].place).reached))
+            .collect();
+        let place = self.relay.place(self.seats[i].place);
+        let seat = &mut self.seats[i];
+        seat.lives += 1;
+        std::fs::create_dir_all(&seat.files)?;
+        let (config, operator) = (seat.files.join("config.json"), seat.files.join("operator.toml"));
+        let zone = self.plan.zones.iter().position(|z| *z == seat.zone).unwrap_or(0);
+        let settings = settings(&self.plan.zones, zone, i, self.plan.first);
+        let text = json!({
+            "name": seat.name, "listen": seat.listen.to_string(), "ops": seat.ops.to_string(),
+            "discovery": self.backends.discovery.to_string(), "seed": format!("{:016x}", self.plan.seed + i as u64),
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 512}, "known": null, "settings": settings,
+        });
+        std::fs::write(&config, text.to_string())?;
+        let member = format!(
+            "[fleet]\nname = \"rig\"\nbind = \"{}\"\nadvertise = \"{}\"\nseeds = [{}]\nlongest_pause = \"{}ms\"\n",
+            place.own,
+            place.reached,
+            seeds.join(", "),
+            self.plan.longest_pause.as_millis(),
+        );
+        std::fs::write(&operator, member)?;
+        let mut command = Command::new(&self.options.program);
+        command
+            .arg("--operator")
+            .arg(&operator)
+            .env_clear()
+            .env("LB_CONFIG", &config)
+            .stdout(Stdio::null())
+            .stderr(Stdio::piped());
+        let mut process = Process::start(&mut command, &self.guard)?;
+        if let Some(log) = process.log() {
+            let (told, life, name) = (self.told.0.clone(), seat.lives, seat.name.clone());
+            let kept = self.options.logs.as_ref().map(|logs| logs.join(format!("{i}-{name}-{life}.log")));
+            // Ends with the process' log.
+            std::thread::spawn(move || {
+                let mut kept = kept.and_then(|path| std::fs::File::create(path).ok());
+                for line in BufReader::new(log).lines().map_while(Result::ok) {
+                    if let Some(kept) = &mut kept {
+                        let _ = writeln!(kept, "{line}");
+                    }
+                    if let Some(change) = change(&line) {
+                        let (member, generation, to) = change;
+                        let _ = told.send((Instant::now(), i, life, member, generation, to));
+                    }
+                }
+            });
+        }
+        seat.process = Some(process);
+        seat.touched.fetch_add(1, Ordering::SeqCst);
+        // A life has a state of its own: what still watches the one before sees it over.
+        seat.state = Arc::new(AtomicU8::new(RUNS));
+        self.load(i);
+        Ok(())
+    }
+
+    /// An open loop of requests on a member for as long as this life of it runs.
+    fn load(&self, i: usize) {
+        if self.plan.load <= 0.0 {
+            return;
+        }
+        let seat = &self.seats[i];
+        let (state, touched, to) = (seat.state.clone(), seat.touched.clone(), seat.listen);
+        let (outcomes, lost, began) = (self.outcomes.clone(), self.lost.clone(), self.began);
+        let gap = Duration::from_secs_f64(1.0 / self.plan.load);
+        tokio::spawn(async move {
+            // It answers `/up` first; until then nobody would be sent to it.
+            tokio::time::sleep(Duration::from_millis(700)).await;
+            let mut next = Instant::now();
+            loop {
+                next += gap;
+                tokio::time::sleep_until(next.into()).await;
+                let before = touched.load(Ordering::SeqCst);
+                match state.load(Ordering::SeqCst) {
+                    OVER => return,
+                    STOPPED => continue,
+                    _ => {}
+                }
+                let (outcomes, lost, touched) = (outcomes.clone(), lost.clone(), touched.clone());
+                tokio::spawn(async move {
+                    let ended = request(to).await;
+                    let alone = touched.load(Ordering::SeqCst) == before;
+                    let mut all = outcomes.lock().unwrap_or_else(PoisonError::into_inner);
+                    match ended {
+                        Ended::Served => all.served += 1,
+                        Ended::Denied => all.denied += 1,
+                        Ended::Failed => all.failed += 1,
+                        Ended::Lost if alone => {
+                            all.lost += 1;
+                            let mut lost = lost.lock().unwrap_or_else(PoisonError::into_inner);
+                            lost.push((i, began.elapsed()));
+                        }
+                        Ended::Unmet | Ended::Lost => all.unmet += 1,
+                    }
+                });
+            }
+        });
+    }
+
+    fn died(&mut self, i: usize) {
+        if self.seats[i].process.is_some() {
+            let others = self.seats.iter().map(|_| None).collect();
+            self.deaths.push((i, self.now(), others));
+        }
+    }
+
+    /// Processes that ended: as they were asked to, or not.
+    fn look_at_processes(&mut self) {
+        for seat in &mut self.seats {
+            let Some(process) = &mut seat.process else { continue };
+            match (process.ended(), seat.leaving) {
+                (None, Some(since)) if since.elapsed() > LEAVE => {
+                    self.crashed.push(format!("{} did not end within {LEAVE:?} of SIGTERM", seat.name));
+                    process.kill();
+                    (seat.process, seat.leaving) = (None, None);
+                }
+                (None, _) => {}
+                (Some(status), leaving) => {
+                    if leaving.is_none() || !status.success() {
+                        self.crashed.push(format!("{} ended: {status}", seat.name));
+                    }
+                    seat.put(OVER);
+                    (seat.process, seat.leaving, seat.last) = (None, None, None);
+                }
+            }
+        }
+    }
+
+    /// Asks all doors; whether all views are equal and true.
+    async fn look(&mut self) -> bool {
+        let asked: Vec<(usize, u32, SocketAddr)> = self
+            .seats
+            .iter()
+            .enumerate()
+            .filter(|(_, seat)| seat.process.is_some() && seat.runs())
+            .map(|(i, seat)| (i, seat.lives, seat.ops))
+            .collect();
+        let calls: Vec<_> = asked.iter().map(|(_, _, ops)| tokio::spawn(door(*ops))).collect();
+        let mut equal = !asked.is_empty();
+        for ((i, life, _), call) in asked.into_iter().zip(calls) {
+            let answer = call.await.ok().flatten();
+            let now = self.now();
+            let seat = &mut self.seats[i];
+            if seat.lives != life || !seat.runs() {
+                continue;
+            }
+            let Some((look, line)) = answer.as_ref().and_then(read_look) else {
+                (equal, seat.last) = (false, None);
+                continue;
+            };
+            (seat.last, seat.line) = (Some(look.clone()), line);
+            self.judge.look(now, i, &look);
+        }
+        let stopped =
+            self.seats.iter().any(|s| s.process.is_some() && s.leaving.is_none() && s.last.is_none());
+        let looks: Vec<&Look> = self.seats.iter().filter_map(|s| s.last.as_ref()).collect();
+        let speaking = looks.iter().filter(|look| !look.superseded);
+        equal && !stopped && speaking.clone().all(|look| self.judge.true_view(look).is_ok())
+    }
+
+    /// What the logs have told.
+    fn hear(&mut self) {
+        while let Ok((at, observer, life, name, generation, to)) = self.told.1.try_recv() {
+            let now = at.saturating_duration_since(self.began);
+            if self.seats[observer].lives != life {
+                continue;
+            }
+            self.judge.changed(now, observer, &name, generation, to == "gone");
+            if to == "gone" || to == "left" {
+                for (dead, _, knows) in &mut self.deaths {
+                    if self.seats[*dead].name == name && knows[observer].is_none() {
+                        knows[observer] = Some(now);
+                    }
+                }
+            }
+        }
+        let lost = std::mem::take(&mut *self.lost.lock().unwrap_or_else(PoisonError::into_inner));
+        for (i, at) in lost {
+            self.judge.breaks(Rule::Unanswered, at, i, "a request was never answered".to_owned());
+        }
+    }
+
+    /// Asks all that are left to leave, and sees that they do.
+    async fn close(&mut self) {
+        for seat in &mut self.seats {
+            seat.garbage.store(0, Ordering::SeqCst);
+            seat.touched.fetch_add(1, Ordering::SeqCst);
+            seat.put(OVER);
+            if let Some(process) = &mut seat.process {
+                process.go_on();
+                process.terminate();
+                seat.leaving.get_or_insert_with(Instant::now);
+            }
+        }
+        while self.seats.iter().any(|seat| seat.process.is_some()) {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            self.look_at_processes();
+        }
+    }
+
+    fn outcomes(&self) -> Outcomes {
+        *self.outcomes.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn report(&self, ended: Duration, equal: Option<Duration>) -> RigReport {
+        // Who was started again was not to be known as dead.
+        let for_good = self.deaths.iter().filter(|(dead, ..)| self.seats[*dead].lives == 1);
+        let known = for_good.filter_map(|(dead, at, knows)| {
+            let lived = |i: &usize| i != dead && self.deaths.iter().all(|(d, ..)| d != i);
+            let all: Vec<Duration> = (0..self.seats.len())
+                .filter(lived)
+                .filter(|&i| self.seats[i].lives > 0)
+                .map(|i| knows[i])
+                .collect::<Option<_>>()?;
+            let since = |t: &Duration| t.saturating_sub(*at).as_secs_f64();
+            Some((since(all.iter().min()?), since(all.iter().max()?)))
+        });
+        let passed = &self.relay.passed;
+        let count = |n: &AtomicU64| n.load(Ordering::Relaxed);
+        RigReport {
+            script: self.plan.name.clone(),
+            seed: self.plan.seed,
+            processes: self.plan.first,
+            seconds: ended.as_secs_f64(),
+            known_s: known.collect(),
+            equal_s: equal.map(|at| at.saturating_sub(self.plan.quiet_from).as_secs_f64()),
+            requests: self.outcomes(),
+            received: count(&self.backends.received),
+            datagrams: (count(&passed.datagrams), count(&passed.bytes), count(&passed.lost)),
+            broken: self.judge.broken.clone(),
+            crashed: self.crashed.clone(),
+        }
+    }
+}
+
+impl Drop for Rig<'_> {
+    fn drop(&mut self) {
+        for seat in &mut self.seats {
+            seat.garbage.store(0, Ordering::SeqCst);
+            seat.process = None;
+        }
+    }
+}
+
+/// A change of state, from a line of a member's log.
+fn change(line: &str) -> Option<(String, u64, String)> {
+    let value: Value = serde_json::from_str(line).ok()?;
+    let fields = value.get("fields")?;
+    if fields.get("message")?.as_str()? != "member changed" {
+        return None;
+    }
+    let text = |name: &str| Some(fields.get(name)?.as_str()?.to_owned());
+    Some((text("member")?, fields.get("generation")?.as_u64()?, text("to")?))
+}
+
+/// What a door says of the fleet.
+async fn door(ops: SocketAddr) -> Option<Value> {
+    let asked = async {
+        let mut stream = TcpStream::connect(ops).await.ok()?;
+        stream.write_all(b"GET /ops/fleet HTTP/1.1\r\nHost: ops\r\n\r\n").await.ok()?;
+        let answer = hear(&mut stream, &mut Vec::new()).await.ok()??;
+        serde_json::from_str(answer.split("\r\n\r\n").nth(1)?).ok()
+    };
+    tokio::time::timeout(PATIENCE, asked).await.ok().flatten()
+}
+
+fn read_look(value: &Value) -> Option<(Look, String)> {
+    let number = |name: &str| value.get(name)?.as_u64();
+    let name = value.get("name")?.as_str()?.to_owned();
+    let generation = number("generation")?;
+    let mut who = vec![(name.clone(), generation)];
+    let mut states = [0; 4];
+    for member in value.get("members")?.as_array()? {
+        let state = member.get("state")?.as_str()?;
+        let at = ["alive", "suspect", "gone", "left"].iter().position(|s| *s == state)?;
+        states[at] += 1;
+        if at < 2 {
+            who.push((member.get("name")?.as_str()?.to_owned(), member.get("generation")?.as_u64()?));
+        }
+    }
+    let flag = |name: &str| value.get(name).and_then(Value::as_bool).unwrap_or(false);
+    let look = Look {
+        generation,
+        who,
+        at_work: number("at_work")? as u32,
+        reached: number("reached")? as usize,
+        known: number("known")? as usize,
+        superseded: flag("superseded"),
+    };
+    let [alive, suspect, gone, left] = states;
+    let mut line = format!(
+        "{name:<8} at work {:>3}  reached {:>3} of {:<3}  alive {alive} suspect {suspect} gone {gone} left {left}",
+        look.at_work, look.reached, look.known
+    );
+    for word in ["isolated", "unheard", "superseded"] {
+        if flag(word) {
+            line += &format!("  {word}");
+        }
+    }
+    Some((look, line))
+}
+
+/// Settings as the platform would give them.
+fn settings(zones: &[String], zone: usize, rank: usize, instances: usize) -> Value {
+    let class = json!({"name": "plan", "slo-ns": 800_000_000u64, "deadline-ns": 3_000_000_000u64, "worth": 3.0,
+        "late-value": 0.5, "effect": "read_like", "dedup-scope": "all", "key-ttl-ns": 5_000_000_000u64});
+    json!({
+        "instances": instances, "rank": rank, "tier": 0, "tiers": ["t"], "zone": zone, "dcs": zones,
+        "domain": {"passes-deadline": true}, "step-ns": 5_000_000u64, "request-classes": [class],
+        "policy-limits": {"cancel": true, "probes": false, "second-copies": false, "retry-after": true,
+            "max-attempts": 3, "max-retry-after-ns": 3_000_000_000u64, "conn-idle-ns": 5_000_000_000u64,
+            "dial-timeout-ns": 200_000_000u64},
+        "contract": {"cold-from": 0.31, "ramp-time-ns": 9_000_000_000u64, "fall-multiple": 3.0,
+            "tip-after-ns": 1_500_000_000u64, "drain-grace-ns": 250_000_000u64, "ask-within-ns": 10_000_000_000u64},
+        "prices": {}, "report": {"source": "pull", "fields": ["inflight", "queue"]},
+        "discovery": "subscribe", "weight-kind": "rough",
+    })
+}
--- a/crates/sidecar/src/door.rs
+++ b/crates/sidecar/src/door.rs
@@ -4,6 +4,7 @@
 use crate::counters::{Counters, count};
 use crate::directory::Directory;
 use crate::figures::Report;
+use crate::fleet::Fleet;
 use crate::frontend::{admit, bid_farewell, refuse};
 use crate::http::server::{Connection, Request, Status, Step};
 use crate::lifecycle::{Life, Machine};
@@ -35,6 +36,8 @@
     Drain,
     /// The end of that.
     Undrain,
+    /// Who is there, as this member of a fleet sees it.
+    Fleet,
 }
 
 /// The call that a method and a path stand for; else how it is answered, and the method that would do.
@@ -44,6 +47,7 @@
         b"/ops/stats" => (Call::Stats, "GET"),
         b"/ops/drain/start" => (Call::Drain, "PUT"),
         b"/ops/drain/stop" => (Call::Undrain, "PUT"),
+        b"/ops/fleet" => (Call::Fleet, "GET"),
         _ => return Err((Status::NotFound, None)),
     };
     if method == due.as_bytes() { Ok(call) } else { Err((Status::NotAllowed, Some(due))) }
@@ -55,6 +59,7 @@
     directory: Rc<Directory>,
     life: Rc<Life<C::Platform>>,
     counters: Rc<Counters>,
+    fleet: Option<Rc<Fleet<C::Platform>>>,
     /// Callers that owe a call, the longest waiting first.
     waiting: RefCell<BTreeMap<u64, Rc<Notify>>>,
     turn: Cell<u64>,
@@ -71,12 +76,14 @@
         directory: Rc<Directory>,
         life: Rc<Life<C::Platform>>,
         counters: Rc<Counters>,
+        fleet: Option<Rc<Fleet<C::Platform>>>,
     ) -> Rc<Door<C>> {
         Rc::new(Door {
             host,
             directory,
             life,
             counters,
+            fleet,
             waiting: RefCell::default(),
             turn: Cell::new(0),
             open: Cell::new(0),
@@ -179,6 +186,10 @@
                 Ok(text) => (Status::Ok, text + "\n"),
                 Err(_) => (Status::Unavailable, String::new()),
             },
+            Call::Fleet => match &self.fleet {
+                Some(fleet) => (Status::Ok, fleet.json() + "\n"),
+                None => (Status::NotFound, String::new()),
+            },
             Call::Drain => {
                 self.life.tell(Machine::drain);
                 (Status::Ok, "{\"draining\":true}\n".to_owned())
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod frontend;
 pub mod http;
 pub mod lifecycle;
+pub mod operator;
 pub mod probe;
 pub mod retune;
 pub mod session;
@@ -31,11 +32,12 @@
 use crate::dispatch::HttpCarrier;
 use crate::door::Door;
 use crate::exchange::Exchanger;
+use crate::fleet::{Fleet, FleetParts};
 use crate::frontend::{Frontend, HttpBackend};
 use crate::lifecycle::Life;
 use crate::retune::Control;
 use crate::session::Host;
-use cometcroft::{Event, ListScope};
+use cometcroft::{Event, ListScope, Settings};
 use cometcroft_platform::{Platform, Task};
 use std::cell::RefCell;
 use std::io;
@@ -47,6 +49,17 @@
 /// Descriptors kept for the listener, discovery, the runtime and standard streams.
 const RESERVE: usize = 48;
 
+/// How many sidecars are at work reaches the module so often at most.
+const RECOUNT: Duration = Duration::from_millis(250);
+
+/// Waits until another number of sidecars is at work; for ever where there is no fleet.
+async fn recounted<P: Platform>(fleet: &Option<Rc<Fleet<P>>>) {
+    match fleet {
+        Some(fleet) => fleet.recounted().await,
+        None => std::future::pending().await,
+    }
+}
+
 /// What a sidecar is given by whoever starts it.
 pub struct Parts<P: Platform> {
     /// Where clients connect.
@@ -59,6 +72,8 @@
     pub life: Rc<Life<P>>,
     /// What it counts.
     pub counters: Rc<Counters>,
+    /// Its part in a fleet, if it has one.
+    pub fleet: Option<FleetParts<P>>,
 }
 
 /// Runs a sidecar until it is told to leave and all is answered.
@@ -73,7 +88,7 @@
     parts: Parts<P>,
     wrap: impl FnOnce(HttpCarrier<P>) -> C,
 ) -> io::Result<()> {
-    let Parts { listener, ops, control, life, counters } = parts;
+    let Parts { listener, ops, control, life, counters, fleet } = parts;
     // Danger: where the listener is inherited a second process may run beside this one, and both count as one.
     let sockets = if config.socket.is_some() { config.sockets / 2 } else { config.sockets };
     let connections = sockets.saturating_sub(RESERVE.min(sockets / 4));
@@ -87,6 +102,8 @@
     let fields = Rc::new(RefCell::new(config.fields.into()));
     let carrier = wrap(HttpCarrier { exchanger, fields: fields.clone() });
     let register = Register::new(&config.net.classes, &config.settings.classes);
+    let instances = config.settings.instances;
+    let said = (config.settings.clone(), config.net.clone());
     let seed = config.seed;
     let host =
         Host::new(carrier, config.settings, seed, ORIGIN, counters.clone()).map_err(io::Error::other)?;
@@ -110,8 +127,21 @@
             swept.sweep();
         }
     });
+    // What the settings say, but for how many sidecars are at work: that is the fleet's to tell.
+    let mut said = fleet.as_ref().map(|_| said);
+    let member = fleet.map(|parts| {
+        let (fleet, listener) = Fleet::new(platform.clone(), parts, instances, seed.rotate_left(32));
+        let task = platform.spawn(fleet.clone().run(listener));
+        let (leaver, told) = (fleet.clone(), life.clone());
+        let leave = platform.spawn(async move {
+            told.begun().await;
+            leaver.leave();
+        });
+        (fleet, [task, leave])
+    });
+    let (fleet, members) = member.unzip();
     let door = ops.map(|ops| {
-        let door = Door::new(host.clone(), directory.clone(), life.clone(), counters.clone());
+        let door = Door::new(host.clone(), directory.clone(), life.clone(), counters.clone(), fleet.clone());
         platform.spawn(door.run(ops))
     });
     let frontend = Frontend::new(
@@ -122,21 +152,40 @@
         counters,
         [to_clients, config.memory / 4],
     );
-    let tuned = frontend.clone();
+    let (tuned, tuner) = (frontend.clone(), platform.clone());
     let tune = platform.spawn(async move {
         loop {
-            let config = control.next().await;
-            // One step: nothing is awaited between the first and the last of these.
-            life.tell(|machine, _| machine.longest(config.longest_deadline()));
-            let Config { settings, net, fields: named, .. } = config;
-            directory.retune(net.zones, settings.rules.drain_grace);
-            pool.retune(net.idle, net.connect_timeout);
-            fields.replace(named.into());
-            tuned.retune(settings, &net.classes, net.tenants);
+            let config = tokio::select! {
+                biased;
+                config = control.next() => Some(config),
+                () = recounted(&fleet) => None,
+            };
+            if let Some(config) = config {
+                // One step: nothing is awaited between the first and the last of these.
+                life.tell(|machine, _| machine.longest(config.longest_deadline()));
+                let Config { mut settings, net, fields: named, .. } = config;
+                directory.retune(net.zones.clone(), settings.rules.drain_grace);
+                pool.retune(net.idle, net.connect_timeout);
+                fields.replace(named.into());
+                if let Some(said) = &mut said {
+                    *said = (settings.clone(), net.clone());
+                }
+                settings.instances = fleet.as_ref().map_or(settings.instances, |fleet| fleet.at_work());
+                tuned.retune(settings, &net.classes, net.tenants);
+            } else if let (Some(fleet), Some((settings, net))) = (&fleet, &said) {
+                // All sums over the fleet are divided by who is there from now on.
+                let settings = Settings { instances: fleet.at_work(), ..settings.clone() };
+                tuned.retune(settings, &net.classes, net.tenants.clone());
+                // Danger: hundreds that join in a second would have the module take new settings for each.
+                tuner.sleep(RECOUNT).await;
+            }
         }
     });
     frontend.run(listener).await;
     tune.abort();
+    for task in members.into_iter().flatten() {
+        task.abort();
+    }
     if let Some(door) = door {
         door.abort();
     }
--- a/crates/sidecar/src/main.rs
+++ b/crates/sidecar/src/main.rs
@@ -1,19 +1,63 @@
-//! Starts one sidecar from its environment, reads its configuration again on SIGHUP and ends it on SIGTERM.
+//! Starts one sidecar from its environment, reads its configuration again on SIGHUP and ends it on SIGTERM; or checks an
+//! operator's file.
 #![forbid(unsafe_code)]
 
+use clap::{Parser, Subcommand};
+use cometcroft_membership::Change;
 use cometcroft_platform::{Platform, Tokio};
 use cometcroft_sidecar::Parts;
 use cometcroft_sidecar::config::Config;
 use cometcroft_sidecar::counters::Counters;
+use cometcroft_sidecar::fleet::FleetParts;
 use cometcroft_sidecar::lifecycle::Life;
+use cometcroft_sidecar::operator::{FleetSection, Operator};
 use cometcroft_sidecar::retune::Control;
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::LocalSet;
 
+/// One sidecar. It stays in the foreground and reads its environment; README.md names the variables.
+#[derive(Parser)]
+#[command(name = "cometcroft", version)]
+struct Cli {
+    /// The operator's file; before LB_OPERATOR.
+    #[arg(long, value_name = "FILE")]
+    operator: Option<PathBuf>,
+    #[command(subcommand)]
+    command: Option<Command>,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Read an operator's file and say what is wrong with it, or what it comes to.
+    Check {
+        /// The file.
+        file: PathBuf,
+    },
+}
+
+fn check(file: &std::path::Path) -> ExitCode {
+    match Operator::load(file) {
+        Ok(operator) => {
+            let told = operator.fleet.as_ref().map(FleetSection::told);
+            println!("{}", told.unwrap_or_else(|| "nothing is switched on".to_owned()));
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            eprintln!("cometcroft: {error}");
+            ExitCode::from(2)
+        }
+    }
+}
+
 fn main() -> ExitCode {
+    let cli = Cli::parse();
+    if let Some(Command::Check { file }) = cli.command {
+        return check(&file);
+    }
     let config = match Config::load(variable) {
         Ok(config) => config,
         Err(error) => {
@@ -21,6 +65,25 @@
             return ExitCode::from(2);
         }
     };
+    let operator = cli.operator.or_else(|| std::env::var_os("LB_OPERATOR").map(PathBuf::from));
+    let operator = match operator.map(|file| Operator::load(&file)).transpose() {
+        Ok(operator) => operator.unwrap_or_default(),
+        Err(error) => {
+            eprintln!("cometcroft: {error}");
+            return ExitCode::from(2);
+        }
+    };
+    let fleet = operator
+        .fleet
+        .map(|section| (section.member(&config), section))
+        .map(|(member, section)| member.map(|member| (member, section)));
+    let fleet = match fleet.transpose() {
+        Ok(fleet) => fleet,
+        Err(error) => {
+            eprintln!("cometcroft: configuration: name: {error}");
+            return ExitCode::from(2);
+        }
+    };
     // Before anything else opens descriptors.
     let inherited = match config.socket.map(cometcroft_inherit::listener).transpose() {
         Ok(inherited) => inherited,
@@ -30,10 +93,9 @@
         }
     };
     let counters = Rc::new(Counters::default());
-    let served = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .and_then(|runtime| LocalSet::new().block_on(&runtime, serve(config, inherited, counters.clone())));
+    let served = tokio::runtime::Builder::new_current_thread().enable_all().build().and_then(|runtime| {
+        LocalSet::new().block_on(&runtime, serve(config, inherited, counters.clone(), fleet))
+    });
     eprintln!("cometcroft: counters {}", counters.json());
     match served {
         Ok(()) => ExitCode::SUCCESS,
@@ -52,6 +114,7 @@
     config: Config,
     inherited: Option<std::net::TcpListener>,
     counters: Rc<Counters>,
+    fleet: Option<(cometcroft_membership::Config, FleetSection)>,
 ) -> std::io::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
@@ -82,5 +145,29 @@
         Some(ops) => Some(TcpListener::bind(ops).await?),
         None => None,
     };
-    cometcroft_sidecar::run(Tokio, config, Parts { listener, ops, control, life, counters }).await
+    let fleet = match fleet {
+        Some((member, section)) => Some(join(member, &section).await?),
+        None => None,
+    };
+    cometcroft_sidecar::run(Tokio, config, Parts { listener, ops, control, life, counters, fleet }).await
+}
+
+/// Opens a member's sockets, and has its changes told in the log as lines of JSON.
+async fn join(
+    member: cometcroft_membership::Config,
+    section: &FleetSection,
+) -> std::io::Result<FleetParts<Tokio>> {
+    tracing_subscriber::fmt().json().with_writer(std::io::stderr).init();
+    let at = section.listens();
+    let named = |error: std::io::Error| std::io::Error::new(error.kind(), format!("fleet: {at}: {error}"));
+    let socket = UdpSocket::bind(at).await.map_err(named)?;
+    let listener = TcpListener::bind(socket.local_addr()?).await.map_err(named)?;
+    let watcher = Box::new(|change: &Change| {
+        let (from, to) = (change.from.map_or("unknown", |state| state.word()), change.to.word());
+        tracing::info!(
+            member = %change.name, generation = change.generation, from, to, cause = change.cause, by = %change.by,
+            "member changed"
+        );
+    });
+    Ok(FleetParts { config: member, socket, listener, from: at.ip(), watcher })
 }
--- /dev/null
+++ b/crates/sidecar/src/operator.rs
@@ -0,0 +1,216 @@
+//! The operator's file: what is off unless it is switched on here. `deploy/operator.toml` is an example with comments.
+
+use crate::config::Config;
+use cometcroft_membership as membership;
+use cometcroft_membership::{Name, Timing};
+use cometcroft_tomlfile::{FileError, Time};
+use serde::Deserialize;
+use std::net::{SocketAddr, SocketAddrV4};
+use std::path::Path;
+use std::time::Duration;
+
+/// The longest pause to bear if none is named.
+const PAUSE: Time = Time(2.0, 2.0);
+/// Members known at once if no number is named.
+const MOST: usize = 4096;
+
+/// The file.
+#[derive(Debug, Clone, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Operator {
+    /// Membership among the sidecars.
+    pub fleet: Option<FleetSection>,
+}
+
+/// `[fleet]`.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct FleetSection {
+    /// The fleet's name; messages of another are refused.
+    pub name: String,
+    /// Where it listens, for datagrams and for connections.
+    pub bind: SocketAddrV4,
+    /// Where the others reach it; `bind` if not said.
+    pub advertise: Option<SocketAddrV4>,
+    /// Whom it asks first; some may be down.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddrV4>,
+    /// The longest pause of a sidecar that must not look like its end.
+    #[serde(default = "pause")]
+    pub longest_pause: Time,
+    /// Members known at once, those that are gone among them.
+    #[serde(default = "most")]
+    pub most: usize,
+    /// Times in place of those that follow from the longest pause.
+    #[serde(default)]
+    pub timing: TimingSection,
+}
+
+/// `[fleet.timing]`.
+#[derive(Debug, Clone, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TimingSection {
+    /// One member is probed in each of these.
+    pub period: Option<Time>,
+    /// Suspicion lasts so long once enough accuse.
+    pub suspicion: Option<Time>,
+    /// A fall of the count binds after this.
+    pub settle: Option<Time>,
+    /// Those that are gone are forgotten after this.
+    pub forget: Option<Time>,
+}
+
+fn pause() -> Time {
+    PAUSE
+}
+
+fn most() -> usize {
+    MOST
+}
+
+impl Operator {
+    /// Reads the file.
+    pub fn load(path: &Path) -> Result<Operator, FileError> {
+        let file = path.display().to_string();
+        let text = std::fs::read_to_string(path).map_err(|e| FileError::of(&file, e))?;
+        Operator::parse(&text, &file)
+    }
+
+    /// Reads the file's text; `file` is only named in errors.
+    pub fn parse(text: &str, file: &str) -> Result<Operator, FileError> {
+        let operator: Operator = cometcroft_tomlfile::read(text, file)?;
+        if let Some(fleet) = &operator.fleet {
+            fleet.check().map_err(|(field, reason)| {
+                let at = text.find(&format!("\n{field}")).map_or(0, |at| at + 1);
+                FileError::at(file, text, at, field, &reason)
+            })?;
+        }
+        Ok(operator)
+    }
+}
+
+impl FleetSection {
+    /// All times.
+    pub fn timing(&self) -> Timing {
+        let mut timing = Timing::from_pause(self.longest_pause.exact());
+        let said = &self.timing;
+        if let Some(period) = said.period {
+            timing.period = period.exact();
+            timing.direct = timing.period / 2;
+            timing.again = timing.period / 4;
+            timing.gossip = timing.period / 4;
+        }
+        if let Some(suspicion) = said.suspicion {
+            timing.suspicion = suspicion.exact();
+            timing.alone = timing.suspicion * 2;
+        }
+        timing.settle = said.settle.map_or(timing.settle, Time::exact);
+        timing.forget = said.forget.map_or(timing.forget, Time::exact);
+        timing
+    }
+
+    fn check(&self) -> Result<(), (&'static str, String)> {
+        let bad = |field, reason: &str| Err((field, reason.to_owned()));
+        if self.name.is_empty() {
+            return bad("name", "must not be empty");
+        }
+        let advertised = self.advertise.unwrap_or(self.bind);
+        if advertised.ip().is_unspecified() {
+            return bad("advertise", "must be an address that others can reach");
+        }
+        if advertised.port() == 0 {
+            return bad("advertise", "must name a port");
+        }
+        let pause = self.longest_pause.exact();
+        if pause < Duration::from_millis(100) || pause > Duration::from_secs(60) {
+            return bad("longest_pause", "must be between 100ms and 60s");
+        }
+        if !(2..=100_000).contains(&self.most) {
+            return bad("most", "must be between 2 and 100000");
+        }
+        let timing = self.timing();
+        if timing.period < Duration::from_millis(20) {
+            return bad("period", "must be at least 20ms");
+        }
+        if timing.suspicion < timing.period * 2 {
+            return bad("suspicion", "must be at least two periods, or nobody has the time to deny it");
+        }
+        if timing.suspicion < pause {
+            return bad("suspicion", "must be at least longest_pause, or a pause looks like an end");
+        }
+        if timing.settle < timing.suspicion {
+            return bad("settle", "must be at least the suspicion");
+        }
+        if timing.forget < timing.settle {
+            return bad("forget", "must be at least settle");
+        }
+        Ok(())
+    }
+
+    /// What a sidecar of this configuration is told as a member.
+    pub fn member(&self, config: &Config) -> Result<membership::Config, String> {
+        let name = Name::new(&config.name).filter(|name| !name.as_str().is_empty());
+        let name = name.ok_or_else(|| format!("{:?} is no name of a member: 1 to 40 bytes", config.name))?;
+        let zone = config.net.zones.get(config.settings.zone.0).map(String::as_str).unwrap_or_default();
+        let mut member = membership::Config::new(&self.name, name, self.advertise.unwrap_or(self.bind));
+        member.zone = Name::new(zone).unwrap_or_default();
+        member.tier = u8::try_from(config.settings.tier).unwrap_or(u8::MAX);
+        member.rank = u16::try_from(config.settings.rank).unwrap_or(u16::MAX);
+        member.seeds = self.seeds.clone();
+        member.timing = self.timing();
+        member.most = self.most;
+        Ok(member)
+    }
+
+    /// Where it listens.
+    pub fn listens(&self) -> SocketAddr {
+        SocketAddr::V4(self.bind)
+    }
+
+    /// What the file comes to, in a few lines.
+    pub fn told(&self) -> String {
+        let timing = self.timing();
+        let advertised = self.advertise.unwrap_or(self.bind);
+        format!(
+            "fleet {}: listens at {}, reached at {advertised}, {} seeds, {} members at most\n\
+             bears pauses of {:?}; probes every {:?}; gone after {:?} (three accuse) to {:?} (one); \
+             a fall of the count binds after {:?}; forgotten after {:?}",
+            self.name,
+            self.bind,
+            self.seeds.len(),
+            self.most,
+            timing.longest_pause,
+            timing.period,
+            timing.suspicion,
+            timing.alone,
+            timing.settle,
+            timing.forget,
+        )
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_example_reads_and_errors_name_file_line_field_and_reason() {
+        let example = include_str!("../../../deploy/operator.toml");
+        let operator = Operator::parse(example, "operator.toml").expect("the example reads");
+        assert!(operator.fleet.is_some());
+        let told = |text: &str| Operator::parse(text, "o.toml").expect_err("refused").to_string();
+        let base = "[fleet]\nname = \"f\"\nbind = \"127.0.0.1:7946\"\n";
+        assert!(Operator::parse(base, "o.toml").is_ok());
+        assert!(Operator::parse("", "o.toml").expect("an empty file").fleet.is_none());
+        let unknown = told(&format!("{base}longest_paus = \"2s\"\n"));
+        assert!(unknown.starts_with("o.toml:4:1: longest_paus: unknown field"), "{unknown}");
+        assert!(unknown.contains("did you mean \"longest_pause\""), "{unknown}");
+        let short = told(&format!("{base}longest_pause = \"10ms\"\n"));
+        assert_eq!(short, "o.toml:4:1: longest_pause: must be between 100ms and 60s");
+        let open = told("[fleet]\nname = \"f\"\nbind = \"0.0.0.0:1\"\n");
+        assert!(open.contains("advertise: must be an address"), "{open}");
+        let hasty = told(&format!("{base}[fleet.timing]\nsuspicion = \"1s\"\n"));
+        assert!(hasty.starts_with("o.toml:5:1: suspicion: must be at least longest_pause"), "{hasty}");
+        assert!(told("[fleet]\nname = 1\n").starts_with("o.toml:2:8: name: invalid type"));
+    }
+}
--- a/crates/sidecar/tests/loopback.rs
+++ b/crates/sidecar/tests/loopback.rs
@@ -80,6 +80,7 @@
             control: control.clone(),
             life: life.clone(),
             counters: counters.clone(),
+            fleet: None,
         };
         let ended = spawn_local(cometcroft_sidecar::run(Tokio, config, parts));
         let told = told(Sidecar { address, ops, backend, discovery, control, counters, life, ended });
