Fleet commands of the lab, planted defects found, gossip by least sent, counts kept by tier

Change: cometcroft-lab fleet list, run, play, up. Words that were sent least go first, and are said once less when another says them: at 1,000 members a word about a death lay behind the words of the start, and 2 of 2 fleets did not know of a kill after 10 s. Those who are there are counted by tier as they come, as a count made after each datagram was 5 % of the time at 1,000. The judge exempted everybody for the first 15 s, which hid the early faults: harm now ends with what is put right.

--- a/crates/emulator/src/fleet.rs
+++ b/crates/emulator/src/fleet.rs
@@ -357,9 +357,10 @@
 
     /// All who live hold the same view, and as many are in it as live.
     fn equal(&self) -> bool {
-        let mut views = self.seats.iter().filter_map(|seat| seat.process.as_ref()).map(|(_, fleet)| {
-            fleet.ask(|machine| (machine.superseded(), machine.digest(), machine.who().count()))
-        });
+        let mut views =
+            self.seats.iter().filter_map(|seat| seat.process.as_ref()).map(|(_, fleet)| {
+                fleet.ask(|machine| (machine.superseded(), machine.digest(), machine.size()))
+            });
         let speaking: Vec<(u64, usize)> =
             views.by_ref().filter(|(superseded, ..)| !superseded).map(|(_, d, n)| (d, n)).collect();
         speaking.iter().all(|view| view.0 == speaking[0].0 && view.1 == speaking.len())
@@ -372,6 +373,9 @@
         for (observer, name, generation, _, to) in changes {
             let gone = to == State::Gone;
             self.judge.changed(time(now), observer, name.as_str(), generation, gone);
+            if to == State::Alive {
+                continue;
+            }
             let seat = self.seats.iter().position(|seat| {
                 let of = |(_, fleet): &(Pid, Rc<Fleet<Sim>>)| {
                     fleet.ask(|machine| machine.me().generation == generation)
--- a/crates/emulator/tests/fleet.rs
+++ b/crates/emulator/tests/fleet.rs
@@ -2,7 +2,7 @@
 
 use cometcroft_emulator::fleet::{FleetReport, FleetRun};
 use cometcroft_membership::Parts;
-use cometcroft_script::{Plan, SHIPPED, Script};
+use cometcroft_script::{Plan, Rule, SHIPPED, Script};
 
 fn play(script: &str, seed: u64, members: Option<usize>, parts: Parts) -> FleetReport {
     let script = Script::find(script).expect("a shipped script");
@@ -23,3 +23,42 @@
     }
     assert!(all.is_empty(), "{all:#?}");
 }
+
+/// A planted defect, a script that shows it, and the rule that it breaks.
+type Planted = (&'static str, fn(&mut Parts), &'static str, Rule);
+
+const PLANTED: &[Planted] = &[
+    ("calls gone who is paused", |p| p.suspicion = false, "pauses", Rule::AliveCalledGone),
+    ("never denies that it is gone", |p| p.refutes = false, "third-paused", Rule::ViewsDiffer),
+    ("lets an old start win", |p| p.generations = false, "restarts", Rule::OldStartWins),
+    ("two of one name both speak", |p| p.generations = false, "twin", Rule::TwinSpeaks),
+    ("forgets the far side for ever", |p| p.tries_gone = false, "split", Rule::ViewsDiffer),
+    ("counts a falling fleet at once", |p| p.cautious = false, "third-paused", Rule::CountFell),
+    ("views that never become equal", |p| p.exchanges = false, "one-seed-up", Rule::ViewsDiffer),
+    ("takes a word for the verdict", |p| p.own_time = false, "mute", Rule::AliveCalledGone),
+    ("asks nobody to probe for it", |p| p.indirect = false, "one-pair", Rule::AliveCalledGone),
+];
+
+#[test]
+fn every_planted_defect_is_found_and_its_rule_named() {
+    for (what, plant, script, rule) in PLANTED {
+        let mut parts = Parts::default();
+        plant(&mut parts);
+        let found = (1..=200).find(|&seed| {
+            let report = play(script, seed, None, parts);
+            report.broken.iter().any(|broken| broken.rule == *rule)
+        });
+        println!("{what}: {script}, seed {found:?}");
+        assert!(found.is_some(), "{what}: {script} never broke {rule:?}");
+    }
+}
+
+#[test]
+fn one_seed_is_one_run_and_a_dropped_fleet_is_gone() {
+    let script = Script::find("split-again").expect("a shipped script");
+    let run = || {
+        let report = FleetRun::new(Plan::draw(&script, 3, Some(9)), Parts::default()).play(false);
+        (report.bytes_s, report.datagrams_s, report.equal_s, report.known_s)
+    };
+    assert_eq!(run(), run());
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,6 +1,7 @@
-//! `cometcroft-lab`: the command round the emulator.
+//! `cometcroft-lab`: the command round the emulator and the rig.
 #![forbid(unsafe_code)]
 
+mod fleet;
 mod shrink;
 mod swarm;
 mod table;
@@ -93,6 +94,11 @@
         #[arg(long, value_name = "FILE")]
         out: PathBuf,
     },
+    /// Fleets under scripts of faults: on the virtual clock, and on real processes.
+    Fleet {
+        #[command(subcommand)]
+        command: fleet::Fleet,
+    },
     /// List the shipped scenarios, or print one.
     Scenarios {
         /// The one to print.
@@ -111,7 +117,7 @@
     if value.is_finite() && value > 0.0 { Ok(value) } else { Err("must be positive".into()) }
 }
 
-fn seeds(text: &str) -> Result<RangeInclusive<u64>, String> {
+pub(crate) fn seeds(text: &str) -> Result<RangeInclusive<u64>, String> {
     let (from, to) = text.split_once("..").ok_or("seeds are written as A..B")?;
     let number = |t: &str| t.parse::<u64>().map_err(|_| format!("{t:?} is no seed"));
     let (from, to) = (number(from)?, number(to.trim_start_matches('='))?);
@@ -190,6 +196,7 @@
             std::fs::write(&out, text).map_err(|e| format!("{}: {e}", out.display()))?;
             Ok(ExitCode::SUCCESS)
         }
+        Command::Fleet { command } => fleet::run(command),
         Command::Scenarios { name: Some(name) } => {
             let text = SHIPPED.iter().find(|(shipped, _)| *shipped == name);
             print!("{}", text.ok_or_else(|| format!("no scenario {name:?} comes with the program"))?.1);
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -7,6 +7,7 @@
 mod count;
 mod machine;
 mod message;
+mod queue;
 mod view;
 
 pub use config::{Config, Parts, Timing};
--- a/crates/membership/src/machine.rs
+++ b/crates/membership/src/machine.rs
@@ -3,12 +3,11 @@
 use crate::Time;
 use crate::config::{Config, Parts, Timing};
 use crate::message::*;
+use crate::queue::Queue;
 use crate::view::{Dropped, Reach, Report, Row, Traffic};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddrV4;
 
-/// Whoever is asked to probe for another.
-const HELPERS: usize = 3;
 /// So many accusers make a suspicion as short as it gets.
 const ACCUSERS: usize = 3;
 /// Gossip goes to so many at a time.
@@ -106,13 +105,15 @@
     suspects: BTreeSet<Name>,
     gone: BTreeSet<Name>,
     there: usize,
+    /// Those who are there, by tier.
+    tiers: BTreeMap<u8, u32>,
     order: Vec<Name>,
     place: usize,
     digest: u64,
     seq: u32,
     probe: Option<Probe>,
     favours: VecDeque<Favour>,
-    queue: VecDeque<(Claim, u32)>,
+    queue: Queue,
     next_period: Time,
     next_gossip: Time,
     next_try: Time,
@@ -162,6 +163,7 @@
             suspects: BTreeSet::new(),
             gone: BTreeSet::new(),
             there: 0,
+            tiers: BTreeMap::new(),
             order: Vec::new(),
             place: 0,
             digest,
@@ -169,7 +171,7 @@
             rng,
             probe: None,
             favours: VecDeque::new(),
-            queue: VecDeque::new(),
+            queue: Queue::default(),
             next_period: now + first,
             next_gossip: now,
             next_try: now + first / 4,
@@ -254,8 +256,13 @@
 
     /// Sidecars of a tier that are at work: alive or suspect, itself among them.
     pub fn at_work(&self, tier: u8) -> u32 {
-        let others = self.members.values().filter(|m| m.there() && m.record.tier == tier).count();
-        others as u32 + u32::from(self.me.tier == tier && !self.leaving)
+        let others = self.tiers.get(&tier).copied().unwrap_or(0);
+        others + u32::from(self.me.tier == tier && !self.leaving)
+    }
+
+    /// How many are there, itself among them.
+    pub fn size(&self) -> usize {
+        self.there + 1
     }
 
     /// A digest of who is there; equal where views are.
@@ -411,7 +418,8 @@
                 let claim = self.own_claim();
                 self.send(from.address(), from.formats.1, Kind::Gossip, Some(claim));
             }
-            self.about_me(&from, if leaving { State::Left } else { State::Alive });
+            let state = if leaving { State::Left } else { State::Alive };
+            self.about_me(&from, state, &from.name);
             return;
         }
         if self.superseded {
@@ -537,19 +545,21 @@
         }
     }
 
-    /// It answers, so this one's own part in a suspicion of it is over; others' stands until it denies it.
+    /// It answers. Danger: what is held against it stands until it denies it, and a pause that begins before its word
+    /// comes must not be added to what was before; so the time begins anew.
     fn clear(&mut self, name: &Name, generation: u64) {
-        let (now, wait) = (self.now, self.timing().suspicion);
+        let (now, timing) = (self.now, self.timing());
         if let Some(member) = self.members.get_mut(name)
             && member.state == State::Suspect
             && member.record.generation == generation
         {
-            member.until = member.until.max(now + wait);
+            (member.since, member.until) = (now, now + timing.alone);
+            member.accusers.truncate(1);
         }
     }
 
     /// Somebody says something of this one.
-    fn about_me(&mut self, record: &Record, state: State) {
+    fn about_me(&mut self, record: &Record, state: State, by: &Name) {
         if record.generation > self.me.generation {
             let young = self.now < self.started + self.timing().young;
             if young && !self.adopted {
@@ -582,6 +592,11 @@
             self.refuted += 1;
             self.doubt = (self.doubt + 1).min(DOUBT);
             self.change_me(|me| me.incarnation = record.incarnation.saturating_add(1));
+            // Whoever accused it hears first that it lives.
+            if let Some(accuser) = self.members.get(by).map(|m| m.record.clone()) {
+                let claim = self.own_claim();
+                self.send(accuser.address(), accuser.formats.1, Kind::Gossip, Some(claim));
+            }
         }
     }
 
@@ -602,7 +617,7 @@
     /// A word about somebody, as the protocol's order of words has it.
     fn apply(&mut self, claim: Claim) {
         if claim.record.name == self.me.name {
-            self.about_me(&claim.record, claim.state);
+            self.about_me(&claim.record, claim.state, &claim.by);
             return;
         }
         let now = self.now;
@@ -634,6 +649,9 @@
         let newer = record.incarnation > inc;
         let (name, by, state) = (record.name.clone(), by.clone(), *state);
         let incarnation = record.incarnation;
+        if !newer {
+            self.queue.heard(&claim, self.times());
+        }
         match (state, had) {
             (State::Left, State::Left) => {}
             (State::Left, _) => {
@@ -693,12 +711,14 @@
     /// Changes a member's record without leaving the sums untrue.
     fn enter(&mut self, name: &Name, change: impl FnOnce(&mut Member)) {
         let Some(member) = self.members.get_mut(name) else { return };
-        if member.there() {
-            self.digest ^= member.record.digest();
-        }
+        let there = member.there();
+        let was = (member.record.digest(), member.record.tier);
         change(member);
-        if member.there() {
-            self.digest ^= member.record.digest();
+        if there {
+            let (digest, tier) = (member.record.digest(), member.record.tier);
+            self.digest ^= was.0 ^ digest;
+            *self.tiers.entry(was.1).or_default() -= 1;
+            *self.tiers.entry(tier).or_default() += 1;
         }
     }
 
@@ -719,7 +739,12 @@
         }
         if was_there != member.there() {
             self.digest ^= member.record.digest();
-            self.there = if was_there { self.there - 1 } else { self.there + 1 };
+            let of_tier = self.tiers.entry(member.record.tier).or_default();
+            if was_there {
+                (self.there, *of_tier) = (self.there - 1, *of_tier - 1);
+            } else {
+                (self.there, *of_tier) = (self.there + 1, *of_tier + 1);
+            }
         }
         let generation = member.record.generation;
         let put = |set: &mut BTreeSet<Name>, holds: bool| {
@@ -895,26 +920,33 @@
         }
     }
 
-    /// Who may probe for this one: one of the other's zone, one of its own, others.
-    fn helpers(&mut self, of: &Record) -> Vec<Record> {
-        let mut all: Vec<&Record> = Vec::new();
-        for member in self.members.values() {
-            if member.state == State::Alive && member.record.name != of.name {
-                all.push(&member.record);
+    /// One member drawn among those that fit, without looking at all of them; none if none is met soon.
+    fn any(&mut self, fits: impl Fn(&Member) -> bool) -> Option<Record> {
+        for _ in 0..24 {
+            if self.order.is_empty() {
+                return None;
+            }
+            let name = &self.order[self.rng.usize(..self.order.len())];
+            if let Some(member) = self.members.get(name).filter(|m| fits(m)) {
+                return Some(member.record.clone());
             }
         }
-        let rng = &mut self.rng;
-        let mut picked: Vec<Record> = Vec::new();
+        None
+    }
+
+    /// Who may probe for this one: one of the other's zone, one of its own, others.
+    fn helpers(&mut self, of: &Record) -> Vec<Record> {
         let (theirs, own) = (of.zone.clone(), self.me.zone.clone());
-        let wishes: [&dyn Fn(&Record) -> bool; HELPERS] =
-            [&|r| r.zone == theirs, &|r| r.zone == own, &|_| true];
-        for wish in wishes {
-            let free = |r: &&&Record| !picked.iter().any(|p| p.name == r.name);
-            let fits: Vec<&&Record> = all.iter().filter(free).filter(|r| wish(r)).collect();
-            let fits = if fits.is_empty() { all.iter().filter(free).collect() } else { fits };
-            if !fits.is_empty() {
-                picked.push((*fits[rng.usize(..fits.len())]).clone());
-            }
+        let mut picked: Vec<Record> = Vec::new();
+        for zone in [Some(theirs), Some(own), None] {
+            let free = |m: &Member, zone: &Option<Name>| {
+                m.state == State::Alive
+                    && m.record.name != of.name
+                    && !picked.iter().any(|p| p.name == m.record.name)
+                    && zone.as_ref().is_none_or(|zone| m.record.zone == *zone)
+            };
+            let helper = self.any(|m| free(m, &zone)).or_else(|| self.any(|m| free(m, &None)));
+            picked.extend(helper);
         }
         picked
     }
@@ -1022,30 +1054,26 @@
         if !self.parts().exchanges && claim.state == State::Alive && claim.record.name != self.me.name {
             return;
         }
-        let (name, suspect) = (&claim.record.name, claim.state == State::Suspect);
-        self.queue.retain(|(held, _)| {
-            // Words of several accusers stand side by side.
-            held.record.name != *name
-                || (suspect
-                    && held.state == State::Suspect
-                    && held.by != claim.by
-                    && held.record.incarnation == claim.record.incarnation)
-        });
-        let times = 3 + (self.there + 1).ilog2() * 3 / 2;
-        self.queue.push_front((claim, times));
-        let most = self.config.most * 2;
-        self.queue.truncate(most);
+        self.queue.add(claim, self.config.most * 2);
+    }
+
+    /// So many times a word is passed on: a little over what reaches all.
+    fn times(&self) -> u32 {
+        3 + ((self.there + 2) as f64).ln().ceil() as u32
     }
 
     fn gossip(&mut self, to: usize) {
         if self.superseded {
             return;
         }
-        let mut there: Vec<&Member> = self.members.values().filter(|m| m.there()).collect();
         let mut picked: Vec<Record> = Vec::with_capacity(to);
-        while picked.len() < to && !there.is_empty() {
-            let at = self.rng.usize(..there.len());
-            picked.push(there.swap_remove(at).record.clone());
+        for _ in 0..to * 4 {
+            if picked.len() < to
+                && let Some(record) = self.any(|m| m.there())
+                && !picked.iter().any(|p| p.name == record.name)
+            {
+                picked.push(record);
+            }
         }
         for record in picked {
             if self.queue.is_empty() {
@@ -1073,19 +1101,8 @@
             room = room.saturating_sub(claim_size(&claim));
             claims.push(claim);
         }
-        for _ in 0..self.queue.len().min(MAX_CLAIMS - 1) {
-            let Some((claim, left)) = self.queue.pop_front() else { break };
-            let size = claim_size(&claim);
-            if size > room {
-                self.queue.push_front((claim, left));
-                break;
-            }
-            room -= size;
-            if left > 1 {
-                self.queue.push_back((claim.clone(), left - 1));
-            }
-            claims.push(claim);
-        }
+        let times = self.times();
+        claims.extend(self.queue.next(room, MAX_CLAIMS - 1, times, claim_size));
         let body = Body { from: self.me.clone(), leaving: self.leaving, kind, claims };
         let format = format.clamp(self.config.formats.0, self.config.formats.1);
         let bytes = encode(self.fleet, format, &Packet { body, digest: Some(self.digest) });
--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -130,3 +130,29 @@
         self.kill();
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_the_rig_leaves_behind_is_ended_by_its_guard() {
+        let guard = Guard::start().expect("a shell");
+        let mut ended = Process::start(Command::new("/bin/sleep").arg("60"), &guard).expect("it starts");
+        ended.kill();
+        assert!(ended.ended().is_some());
+        let mut left = Process::start(Command::new("/bin/sleep").arg("60"), &guard).expect("it starts");
+        let inner = guard.0.clone();
+        drop(guard);
+        // The rig is gone without a word: nothing is left that could end its process, but for the guard.
+        let mut watcher = inner.lock().unwrap_or_else(PoisonError::into_inner);
+        watcher.input = None;
+        assert!(watcher.child.wait().expect("the guard ends").code().is_some());
+        drop(watcher);
+        let began = Instant::now();
+        while left.ended().is_none() {
+            assert!(began.elapsed() < Duration::from_secs(20), "the guard has ended it");
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+}
--- a/crates/script/src/plan.rs
+++ b/crates/script/src/plan.rs
@@ -81,7 +81,7 @@
 pub struct Harm {
     /// From when.
     pub from: Duration,
-    /// Until when.
+    /// Until when: some time after the fault's end, in which what it did is put right.
     pub until: Duration,
     /// Whom.
     pub members: Vec<usize>,
@@ -122,6 +122,8 @@
     plan: Plan,
     /// Whom a fault has taken for good.
     spent: Vec<usize>,
+    /// Who is stopped, from when, until when.
+    pauses: Vec<(usize, Duration, Duration)>,
 }
 
 fn time(rng: &mut fastrand::Rng, t: cometcroft_tomlfile::Time) -> Duration {
@@ -156,13 +158,14 @@
             quiet_from: Duration::ZERO,
             load: span(&mut rng, fleet.load),
         };
-        let mut draw = Draw { script, rng, plan, spent: Vec::new() };
+        let mut draw = Draw { script, rng, plan, spent: Vec::new(), pauses: Vec::new() };
         for i in 0..first {
             let at = time(&mut draw.rng, fleet.start);
             draw.act(at, Doing::Start(i), 0);
         }
         // Until all have started and heard of one another, nobody has to know anybody.
-        draw.harm(Duration::ZERO, Duration::from_secs_f64(fleet.start.1), (0..first).collect());
+        let met = Duration::from_secs_f64(fleet.start.1) + draw.plan.longest_pause;
+        draw.plan.harms.push(Harm { from: Duration::ZERO, until: met, members: (0..first).collect() });
         for (i, fault) in script.faults.iter().enumerate() {
             let times = fault.times.map_or(1, |t| span(&mut draw.rng, t).round() as usize);
             let mut at = time(&mut draw.rng, fault.at);
@@ -174,6 +177,7 @@
                 };
             }
         }
+        draw.judge_pauses();
         let mut plan = draw.plan;
         plan.acts.sort_by_key(|act| act.at);
         plan.quiet_from = plan.acts.last().map_or(Duration::ZERO, |act| act.at);
@@ -181,15 +185,13 @@
     }
 
     /// How long after a fault its harm may still show: suspicion runs out, and what was wronged is put right.
-    pub fn aftermath(&self) -> Duration {
+    fn aftermath(&self) -> Duration {
         self.longest_pause * 6 + Duration::from_secs(3)
     }
 
     /// Whether a member may rightly look gone, or not know, at this time.
     pub fn harmed(&self, member: usize, at: Duration) -> bool {
-        self.harms.iter().any(|harm| {
-            harm.from <= at && at <= harm.until + self.aftermath() && harm.members.contains(&member)
-        })
+        self.harms.iter().any(|harm| harm.from <= at && at <= harm.until && harm.members.contains(&member))
     }
 }
 
@@ -199,6 +201,7 @@
     }
 
     fn harm(&mut self, from: Duration, until: Duration, members: Vec<usize>) {
+        let until = until + self.plan.aftermath();
         self.plan.harms.push(Harm { from, until, members });
     }
 
@@ -260,9 +263,7 @@
                 for i in self.targets(fault) {
                     self.act(at, Doing::Stop(i), line);
                     self.act(until, Doing::GoOn(i), line);
-                    if until - at > pause {
-                        self.harm(at, until, vec![i]);
-                    }
+                    self.pauses.push((i, at, until));
                 }
             }
             Kind::Kill | Kind::Terminate => {
@@ -288,7 +289,8 @@
                 for _ in 0..count {
                     let i = self.add(|n| format!("m{}", n + 1));
                     self.act(at, Doing::Start(i), line);
-                    self.harm(at, at, vec![i]);
+                    let met = at + pause;
+                    self.plan.harms.push(Harm { from: at, until: met, members: vec![i] });
                 }
             }
             Kind::Twin => {
@@ -345,6 +347,27 @@
         until
     }
 
+    /// A pause harms its member if it is longer than the longest to bear. One that follows on another before the member
+    /// can have been heard of again is one with it.
+    fn judge_pauses(&mut self) {
+        let mut pauses = std::mem::take(&mut self.pauses);
+        pauses.sort_unstable();
+        let mut joined: Vec<(usize, Duration, Duration)> = Vec::new();
+        for (i, from, until) in pauses {
+            match joined.last_mut() {
+                Some(last) if last.0 == i && from < last.2 + self.plan.longest_pause => {
+                    last.2 = last.2.max(until);
+                }
+                _ => joined.push((i, from, until)),
+            }
+        }
+        for (i, from, until) in joined {
+            if until - from > self.plan.longest_pause {
+                self.harm(from, until, vec![i]);
+            }
+        }
+    }
+
     fn add(&mut self, name: impl FnOnce(usize) -> String) -> usize {
         let n = self.plan.members.len();
         let zone = n % self.plan.zones.len();
--- a/crates/sidecar/src/fleet.rs
+++ b/crates/sidecar/src/fleet.rs
@@ -16,9 +16,6 @@
 const VISITORS: usize = 8;
 /// An exchange takes no longer.
 const EXCHANGE: Duration = Duration::from_secs(1);
-/// The count of those at work is looked at anew so often.
-const RECOUNT: Duration = Duration::from_millis(200);
-
 /// What hears of every change of state.
 pub type Watcher = Box<dyn Fn(&Change)>;
 
@@ -46,7 +43,6 @@
     tier: u8,
     count: RefCell<Headcount>,
     in_force: Cell<u32>,
-    recount: Cell<Time>,
     counted: Notify,
     wake: Notify,
     calls: Cell<usize>,
@@ -69,7 +65,6 @@
             tier,
             count: RefCell::new(Headcount::new(Time::ZERO, instances, settle, cautious)),
             in_force: Cell::new(instances.max(1)),
-            recount: Cell::new(Time::ZERO),
             counted: Notify::new(),
             wake: Notify::new(),
             calls: Cell::new(0),
@@ -108,7 +103,6 @@
 
     /// Does what the machine wants done.
     fn flush(self: &Rc<Self>) {
-        let mut changed = false;
         loop {
             let output = self.machine.borrow_mut().output();
             match output {
@@ -127,21 +121,15 @@
                     });
                 }
                 Some(Output::Exchange(_)) => {}
-                Some(Output::Changed(change)) => {
-                    changed = true;
-                    (self.watcher)(&change);
-                }
+                Some(Output::Changed(change)) => (self.watcher)(&change),
             }
         }
         let now = self.now();
-        if changed || now >= self.recount.get() {
-            self.recount.set(now + RECOUNT);
-            let machine = self.machine.borrow();
-            let (reached, known) = machine.reach();
-            let count = self.count.borrow_mut().see(now, machine.at_work(self.tier), reached, known);
-            if self.in_force.replace(count) != count {
-                self.counted.notify_one();
-            }
+        let machine = self.machine.borrow();
+        let (reached, known) = machine.reach();
+        let count = self.count.borrow_mut().see(now, machine.at_work(self.tier), reached, known);
+        if self.in_force.replace(count) != count {
+            self.counted.notify_one();
         }
     }
 
--- a/crates/sidecar/tests/fleet.rs
+++ b/crates/sidecar/tests/fleet.rs
@@ -1,5 +1,6 @@
 //! Several processes of the program with faults between them: every shipped script, the same that the emulator plays.
 #![allow(clippy::disallowed_methods)]
+mod common;
 
 use cometcroft_rig::{Options, RigReport, run};
 use cometcroft_script::{Plan, SHIPPED, Script};
@@ -50,3 +51,78 @@
     let wrong = wrong.into_inner().expect("nobody panicked");
     assert!(wrong.is_empty(), "{wrong:#?}");
 }
+
+/// How many datagram sockets a process holds, as the system tells.
+fn datagram_sockets(pid: u32) -> usize {
+    let table = std::fs::read_to_string(format!("/proc/{pid}/net/udp")).expect("the table");
+    let inodes: Vec<&str> = table.lines().skip(1).filter_map(|l| l.split_whitespace().nth(9)).collect();
+    let held = std::fs::read_dir(format!("/proc/{pid}/fd")).expect("its descriptors");
+    held.filter_map(|fd| std::fs::read_link(fd.ok()?.path()).ok())
+        .filter(|to| {
+            let to = to.to_string_lossy();
+            let inode = to.strip_prefix("socket:[").and_then(|rest| rest.strip_suffix(']'));
+            inode.is_some_and(|inode| inodes.contains(&inode))
+        })
+        .count()
+}
+
+#[test]
+fn without_the_operators_file_there_is_no_datagram_socket_and_no_answer_about_a_fleet() {
+    use std::io::{Read, Write};
+    let folder = std::env::temp_dir().join(format!("cometcroft-off-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let free = || std::net::TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port");
+    for fleet in [false, true] {
+        let (listen, ops, bind) = (free(), free(), free());
+        let (config, operator) = (folder.join("config.json"), folder.join("operator.toml"));
+        let text = common::config(&listen.to_string(), "127.0.0.1:9", "null");
+        std::fs::write(&config, text).expect("written");
+        let member =
+            if fleet { format!("[fleet]\nname = \"f\"\nbind = \"{bind}\"\n") } else { String::new() };
+        std::fs::write(&operator, member).expect("written");
+        let mut child = std::process::Command::new(env!("CARGO_BIN_EXE_cometcroft"))
+            .arg("--operator")
+            .arg(&operator)
+            .env("LB_CONFIG", &config)
+            .env("LB_OPS", ops.to_string())
+            .stderr(std::process::Stdio::null())
+            .spawn()
+            .expect("it starts");
+        let began = std::time::Instant::now();
+        let answer = loop {
+            let mut answer = String::new();
+            if let Ok(mut door) = std::net::TcpStream::connect(ops)
+                && door.write_all(b"GET /ops/fleet HTTP/1.1\r\nHost: h\r\n\r\n").is_ok()
+                && door.read_to_string(&mut answer).is_ok()
+                && !answer.is_empty()
+            {
+                break answer;
+            }
+            assert!(began.elapsed() < std::time::Duration::from_secs(20), "the door answers");
+            std::thread::sleep(std::time::Duration::from_millis(20));
+        };
+        let sockets = datagram_sockets(child.id());
+        child.kill().expect("it is there");
+        child.wait().expect("it ends");
+        assert_eq!(sockets, usize::from(fleet), "{answer}");
+        assert_eq!(answer.starts_with("HTTP/1.1 200"), fleet, "{answer}");
+        assert_eq!(answer.starts_with("HTTP/1.1 404"), !fleet, "{answer}");
+    }
+    let _ = std::fs::remove_dir_all(folder);
+}
+
+#[test]
+fn a_bad_operators_file_ends_the_program_with_one_line_that_names_the_field() {
+    let file = std::env::temp_dir().join(format!("cometcroft-bad-{}.toml", std::process::id()));
+    std::fs::write(&file, "[fleet]\nname = \"f\"\nbnd = \"127.0.0.1:1\"\n").expect("written");
+    let check = std::process::Command::new(env!("CARGO_BIN_EXE_cometcroft"))
+        .arg("check")
+        .arg(&file)
+        .output()
+        .expect("it runs");
+    let _ = std::fs::remove_file(&file);
+    let told = String::from_utf8_lossy(&check.stderr).into_owned();
+    assert_eq!(check.status.code(), Some(2));
+    assert_eq!(told.lines().count(), 1, "{told}");
+    assert!(told.contains(":3:1: bnd: unknown field") && told.contains("did you mean \"bind\"?"), "{told}");
+}
