--- a/crates/emulator/src/fleet.rs
+++ b/crates/emulator/src/fleet.rs
@@ -281,13 +281,19 @@
         seat.life += 1;
         seat.started = self.kernel.now();
         let pid = self.kernel.with_net(|net| net.process(64));
-        let platform = Sim::new(self.kernel.clone(), pid, seat.host);
+        let mut platform = Sim::new(self.kernel.clone(), pid, seat.host);
+        // No two clocks run alike: up to one in a hundred fast or slow.
+        let pace = 0.99 + 0.02 * Dice::new(self.plan.seed, &format!("clock {i}")).unit();
+        platform.run_slow(pace);
         let mut config = Config::new("played", seat.name.clone(), seat.address);
         config.zone = seat.zone.clone();
         config.rank = i as u16;
         config.seeds = seeds;
         config.timing = Timing::from_pause(self.plan.longest_pause);
         config.parts = self.parts;
+        if i < self.plan.old {
+            config.formats = (1, 1);
+        }
         let at = SocketAddr::V4(seat.address);
         let changes = self.changes.clone();
         let parts = FleetParts {
--- a/crates/emulator/src/platform.rs
+++ b/crates/emulator/src/platform.rs
@@ -226,7 +226,8 @@
 
     fn sleep_until(&self, at: Instant) -> impl Future<Output = ()> + 'static {
         let at = self.kernel.nanos(at);
-        let at = if self.pace == 1.0 { at } else { (at as f64 / self.pace) as u64 };
+        // Danger: a timer that fires a hair before its own clock shows the time would be set again in that instant, for ever.
+        let at = if self.pace == 1.0 { at } else { (at as f64 / self.pace).ceil() as u64 + 2 };
         let sleep: Sleep<E> = self.kernel.sleep_until(at);
         sleep
     }
--- a/crates/emulator/tests/fleet.rs
+++ b/crates/emulator/tests/fleet.rs
@@ -3,6 +3,7 @@
 use cometcroft_emulator::fleet::{FleetReport, FleetRun};
 use cometcroft_membership::Parts;
 use cometcroft_script::{Plan, Rule, SHIPPED, Script};
+use cometcroft_tomlfile::Span;
 
 fn play(script: &str, seed: u64, members: Option<usize>, parts: Parts) -> FleetReport {
     let script = Script::find(script).expect("a shipped script");
@@ -62,3 +63,17 @@
     };
     assert_eq!(run(), run());
 }
+
+#[test]
+fn members_of_two_message_formats_live_together() {
+    for name in ["calm", "kill", "split", "restarts"] {
+        let mut script = Script::find(name).expect("a shipped script");
+        script.fleet.old = Span(0.5, 0.5);
+        for seed in 1..=5 {
+            let plan = Plan::draw(&script, seed, Some(8));
+            assert_eq!(plan.old, 4);
+            let report = FleetRun::new(plan, Parts::default()).play(false);
+            assert!(report.broken.is_empty(), "{name} seed {seed}: {:#?}", report.broken);
+        }
+    }
+}
--- a/crates/script/src/file.rs
+++ b/crates/script/src/file.rs
@@ -24,6 +24,9 @@
     pub start: Time,
     /// Requests a second on each member, on real processes.
     pub load: Span,
+    /// The share of members that speak only the message format before; on the virtual clock alone, as one program has
+    /// one set of formats.
+    pub old: Span,
     /// The seed that it is played under if none is given.
     pub seed: Option<u64>,
 }
@@ -39,6 +42,7 @@
             seeds: Span(2.0, 2.0),
             start: Time(0.0, 0.3),
             load: Span(10.0, 10.0),
+            old: Span(0.0, 0.0),
             seed: None,
         }
     }
@@ -154,12 +158,14 @@
 shipped![
     "calm",
     "pauses",
+    "long-pause",
     "third-paused",
     "kill",
     "leave",
     "restarts",
     "loss",
     "jumbled",
+    "late-words",
     "one-pair",
     "mute",
     "deaf",
--- a/crates/script/src/plan.rs
+++ b/crates/script/src/plan.rs
@@ -114,6 +114,8 @@
     pub quiet_from: Duration,
     /// Requests a second on each member.
     pub load: f64,
+    /// So many of the first speak only the message format before.
+    pub old: usize,
 }
 
 struct Draw<'a> {
@@ -157,6 +159,7 @@
             length: time(&mut rng, fleet.length),
             quiet_from: Duration::ZERO,
             load: span(&mut rng, fleet.load),
+            old: (span(&mut rng, fleet.old) * first as f64).round() as usize,
         };
         let mut draw = Draw { script, rng, plan, spent: Vec::new(), pauses: Vec::new() };
         for i in 0..first {
