Write the outcomes of requests in one place

Cause: the lab wrote the same five counts in three places, found by reading the change again (duplicates: lab fleet.rs 165 and 350). Change: Outcomes writes itself; run, up and the report use it. What is printed stays as it was. Checked: format, clippy on rig and lab, their tests.

--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -160,15 +160,7 @@
         if at >= last + Duration::from_secs(2) {
             last = at;
             let alive = lines.iter().filter(|line| !line.is_empty()).count();
-            eprintln!(
-                "{:6.1} s  {alive} members heard, {} served, {} denied, {} failed, {} unmet, {} lost",
-                at.as_secs_f64(),
-                requests.served,
-                requests.denied,
-                requests.failed,
-                requests.unmet,
-                requests.lost
-            );
+            eprintln!("{:6.1} s  {alive} members heard, {requests}", at.as_secs_f64());
         }
     }
 }
@@ -178,25 +170,20 @@
 }
 
 fn told(report: &RigReport) -> String {
-    let (r, known) = (report.requests, &report.known_s);
+    let (requests, known) = (report.requests, &report.known_s);
     let known: Vec<String> =
         known.iter().map(|(first, all)| format!("first {first:.2} s, all {all:.2} s")).collect();
     let equal = report.equal_s.map_or("never".to_owned(), |s| format!("{s:.2} s after the last act"));
     let (passed, bytes, lost) = report.datagrams;
     let mut text = format!(
-        "script     {} (seed {}, {} processes, {:.1} s)\nknown gone {}\nviews      equal {equal}\nrequests   {} served, {} \
-         denied, {} failed, {} unmet, {} lost; {} received by backend servers\ndatagrams  {passed} passed on ({bytes} \
+        "script     {} (seed {}, {} processes, {:.1} s)\nknown gone {}\nviews      equal {equal}\nrequests   {requests}; \
+         {} received by backend servers\ndatagrams  {passed} passed on ({bytes} \
          bytes), {lost} lost on purpose\n",
         report.script,
         report.seed,
         report.processes,
         report.seconds,
         if known.is_empty() { "nobody for good".to_owned() } else { known.join("; ") },
-        r.served,
-        r.denied,
-        r.failed,
-        r.unmet,
-        r.lost,
         report.received,
     );
     text += &broken(&report.broken);
@@ -345,15 +332,7 @@
         if terminal && drawn > 0 {
             print!("\x1b[{drawn}A\x1b[J");
         }
-        println!(
-            "{:.0} s  {} served, {} denied, {} failed, {} unmet, {} lost",
-            at.as_secs_f64(),
-            requests.served,
-            requests.denied,
-            requests.failed,
-            requests.unmet,
-            requests.lost
-        );
+        println!("{:.0} s  {requests}", at.as_secs_f64());
         for line in lines {
             println!("  {line}");
         }
--- a/crates/rig/src/load.rs
+++ b/crates/rig/src/load.rs
@@ -23,6 +23,13 @@
     pub lost: u64,
 }
 
+impl std::fmt::Display for Outcomes {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let Outcomes { served, denied, failed, unmet, lost } = self;
+        write!(f, "{served} served, {denied} denied, {failed} failed, {unmet} unmet, {lost} lost")
+    }
+}
+
 /// How one request ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Ended {
