--- /dev/null
+++ b/crates/budget/src/spend.rs
@@ -0,0 +1,158 @@
+//! The spending of a part: tokens of a rate, places of a level, and how much of either is needed.
+
+use crate::config::{Config, Kind, Time};
+
+/// Needs are measured over about this time, in seconds.
+const MEMORY: f64 = 1.0;
+/// So much more than what was needed is asked for.
+const ROOM: f64 = 1.2;
+
+/// What a part is at a time: with its lease until then, and without.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Part {
+    pub floor: u64,
+    pub lent: u64,
+    pub until: Time,
+}
+
+impl Part {
+    fn at(&self, now: Time) -> u64 {
+        self.floor + if now < self.until { self.lent } else { 0 }
+    }
+}
+
+/// Tokens of a rate.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Tokens {
+    have: f64,
+    at: Time,
+}
+
+impl Tokens {
+    /// None to begin with: whoever had the part before has spent its burst.
+    pub fn new(now: Time) -> Tokens {
+        Tokens { have: 0.0, at: now }
+    }
+
+    /// Lets time pass, under a part that has not changed since the last call but by its lapse.
+    pub fn pass(&mut self, now: Time, part: Part, burst: u64, size: u64) {
+        let lapse = part.until.clamp(self.at, now.max(self.at));
+        self.gain(lapse, part.floor + if self.at < part.until { part.lent } else { 0 }, burst, size);
+        self.gain(now, part.floor, burst, size);
+        self.have = self.have.min(cap(part.at(now), burst, size));
+    }
+
+    fn gain(&mut self, to: Time, part: u64, burst: u64, size: u64) {
+        if to <= self.at {
+            return;
+        }
+        let gained = (to - self.at).as_secs_f64() * Config::spent_rate(part);
+        // What it had under a greater part is cut to the cap of this one.
+        self.have = (self.have + gained).min(cap(part, burst, size));
+        self.at = to;
+    }
+
+    /// Takes one, or says how long until there is one under this part.
+    pub fn take(&mut self, part: u64) -> Result<(), Option<Time>> {
+        // Sums of many small gains fall short of a whole by what floating point loses.
+        if self.have >= 1.0 - 1e-9 {
+            self.have = (self.have - 1.0).max(0.0);
+            return Ok(());
+        }
+        let rate = Config::spent_rate(part);
+        Err((rate > 0.0).then(|| Time::from_secs_f64(((1.0 - self.have) / rate).min(3600.0))))
+    }
+}
+
+/// A part's share of the burst.
+fn cap(part: u64, burst: u64, size: u64) -> f64 {
+    burst as f64 / 1000.0 * part as f64 / size.max(1) as f64
+}
+
+/// How much is needed.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Meter {
+    rate: f64,
+    peak: f64,
+    at: Time,
+}
+
+impl Meter {
+    fn fade(&mut self, now: Time) {
+        let gone = now.saturating_sub(self.at).as_secs_f64();
+        let kept = (-gone / MEMORY).exp();
+        (self.rate, self.peak) = (self.rate * kept, self.peak * kept);
+        self.at = now;
+    }
+
+    /// One was wanted, whether it was had or not, while so many were out.
+    pub fn wanted(&mut self, now: Time, out: u64) {
+        self.fade(now);
+        self.rate += 1.0 / MEMORY;
+        self.peak = self.peak.max(out as f64 + 1.0);
+    }
+
+    /// One was refused: there is need beyond what is out.
+    pub fn refused(&mut self) {
+        self.peak += 1.0;
+    }
+
+    /// What to ask for, in thousandths.
+    pub fn need(&mut self, now: Time, kind: Kind, out: u64) -> u64 {
+        self.fade(now);
+        let needed = match kind {
+            Kind::Rate { .. } => self.rate,
+            Kind::Level { .. } => self.peak.max(out as f64),
+        };
+        if needed < 0.05 { 0 } else { (needed * ROOM * 1000.0).min(1e12) as u64 }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn s(seconds: f64) -> Time {
+        Time::from_secs_f64(seconds)
+    }
+
+    #[test]
+    fn tokens_come_at_the_parts_pace_and_end_with_it() {
+        let part = Part { floor: 0, lent: 10_000, until: s(2.0) };
+        let mut tokens = Tokens::new(s(0.0));
+        assert!(tokens.take(10_000).is_err(), "none to begin with");
+        tokens.pass(s(1.0), part, 100_000, 100_000);
+        let mut taken = 0;
+        while tokens.take(10_000).is_ok() {
+            taken += 1;
+        }
+        assert_eq!(taken, 9, "10 a second, less what is kept back");
+        // Woken long after its lease has ended: nothing is left, whatever it had saved.
+        tokens.pass(s(1.9), part, 100_000, 100_000);
+        tokens.pass(s(9.0), part, 100_000, 100_000);
+        assert_eq!(tokens.take(0), Err(None));
+    }
+
+    #[test]
+    fn a_part_that_shrinks_takes_its_share_of_the_burst_with_it() {
+        let mut tokens = Tokens::new(s(0.0));
+        let great = Part { floor: 0, lent: 50_000, until: s(100.0) };
+        tokens.pass(s(10.0), great, 100_000, 100_000);
+        assert!(tokens.have > 49.0);
+        let small = Part { floor: 0, lent: 5_000, until: s(100.0) };
+        tokens.pass(s(10.0), small, 100_000, 100_000);
+        assert!(tokens.have <= 5.0, "{}", tokens.have);
+    }
+
+    #[test]
+    fn a_need_is_measured_and_forgotten() {
+        let mut meter = Meter::default();
+        for i in 0..400 {
+            meter.wanted(s(f64::from(i) * 0.01), 0);
+        }
+        let need = meter.need(s(4.0), Kind::Rate { burst: 1000 }, 0);
+        assert!((100_000..140_000).contains(&need), "{need}");
+        assert_eq!(meter.need(s(14.0), Kind::Rate { burst: 1000 }, 0), 0);
+        assert!(meter.need(s(14.0), Kind::Level { longest: s(1.0) }, 7) >= 7000);
+    }
+}
