Fleet-wide budgets: the protocol, a model checker on it, and the guards where parts are spent

Need: sums over the fleet that hold whoever comes, goes, sleeps or forgets (docs/design/budget.md).

crates/budget, no I/O: keepers' votes, a divider with a term lease, leases of holders, weighted max-min, tokens of rates and places of levels. The sidecar drives it by the fleet's socket and asks it before a request is taken (tenant, open), before an attempt beyond the first and before a new connection; [budget] in the operator's file switches it on.

Found by the model before anything else ran: who had nothing was forgotten by the divider, so nobody made room for it; candidates that split the votes kept their own for a whole term, now they let it go.

Not yet played on the emulator or on real processes.

--- a/crates/budget/src/config.rs
+++ b/crates/budget/src/config.rs
@@ -211,7 +211,10 @@
             }
             if whole.floor > 0 && whole.floor < self.unit(i) {
                 let least = self.unit(i) as f64 / 1000.0;
-                return Err(("floor", format!("must be 0 or at least {least}, or nothing can be done with it")));
+                return Err((
+                    "floor",
+                    format!("must be 0 or at least {least}, or nothing can be done with it"),
+                ));
             }
             if matches!(whole.kind, Kind::Rate { burst } if burst < 1000) {
                 return bad("burst", "must be at least 1");
--- a/crates/budget/src/core.rs
+++ b/crates/budget/src/core.rs
@@ -27,9 +27,7 @@
 impl Core {
     /// A sidecar that starts now; `id` is this start's alone.
     pub fn new(config: &Config, now: Time, id: u64) -> Core {
-        let seat = config
-            .keeper()
-            .map(|_| Seat { keeper: Keeper::new(now), divider: Divider::new(now, id) });
+        let seat = config.keeper().map(|_| Seat { keeper: Keeper::new(now), divider: Divider::new(now, id) });
         Core { holder: Holder::new(config, now, id), seat }
     }
 
@@ -75,9 +73,9 @@
 
     /// As a divider: holders, claims beyond the whole (there can be none), questions without room.
     pub fn dividing(&self) -> (usize, u64, u64) {
-        self.seat.as_ref().map_or((0, 0, 0), |seat| {
-            (seat.divider.holders(), seat.divider.beyond, seat.divider.crowded)
-        })
+        self.seat
+            .as_ref()
+            .map_or((0, 0, 0), |seat| (seat.divider.holders(), seat.divider.beyond, seat.divider.crowded))
     }
 
     /// What it needs of a whole, and what of it is out, both in thousandths.
@@ -131,7 +129,14 @@
     }
 
     /// A message has come.
-    pub fn hear(&mut self, config: &Config, now: Time, from: SocketAddrV4, message: &Message, out: &mut Outbox) {
+    pub fn hear(
+        &mut self,
+        config: &Config,
+        now: Time,
+        from: SocketAddrV4,
+        message: &Message,
+        out: &mut Outbox,
+    ) {
         match message {
             Message::Vote { ballot, nonce } => {
                 let (Some(seat), Some(place)) = (&mut self.seat, config.keeper()) else { return };
--- a/crates/budget/src/divide.rs
+++ b/crates/budget/src/divide.rs
@@ -93,7 +93,8 @@
                 for (b, part_b) in claims.iter().zip(&parts) {
                     // Who lacks something has, for its weight, no less than another, but for two units.
                     let short = part_a + unit <= a.want;
-                    let less = (part_a + 2 * unit) * u64::from(b.weight) < part_b * u64::from(a.weight);
+                    let (of_a, of_b) = (u64::from(a.weight), u64::from(b.weight));
+                    let less = (part_a + 2 * unit * of_a) * of_b < part_b * of_a;
                     prop_assert!(!(short && less), "{a:?} {part_a} against {b:?} {part_b}");
                 }
             }
--- a/crates/budget/src/divider.rs
+++ b/crates/budget/src/divider.rs
@@ -5,7 +5,6 @@
 use crate::keeper::Keeper;
 use crate::message::{Ballot, Message};
 use std::collections::BTreeMap;
-use std::net::SocketAddrV4;
 
 /// A question of a holder.
 pub(crate) struct Question<'a> {
@@ -115,7 +114,7 @@
         // Candidates take turns, another first each time.
         let place = config.keeper().unwrap_or_default() as u64 + self.term;
         let turn = 1 + place % config.keepers.len().max(1) as u64;
-        config.term() * turn as u32 / 8
+        config.term() * (2 * turn as u32 - 1) / 8
     }
 
     fn step_down(&mut self, config: &Config, now: Time) {
@@ -142,7 +141,8 @@
         match &self.round {
             Some(round) if now < round.asked + config.term() / 3 => return None,
             Some(_) if self.until.is_none() => {
-                // Not elected.
+                // Not elected: nobody counts on the vote that it gave itself, so another may have it.
+                keeper.release(self.id);
                 self.round = None;
                 self.stand_at = now + self.wait(config);
                 return None;
@@ -222,7 +222,10 @@
             return None;
         }
         if old.is_none() {
-            self.records.retain(|_, record| !(0..wholes).all(|whole| charge(config, now, record, whole) == 0));
+            // Who has nothing and asks for something is not forgotten: others have to make room for it.
+            self.records.retain(|_, record| {
+                now < record.until || (0..wholes).any(|whole| charge(config, now, record, whole) > 0)
+            });
             if self.records.len() >= config.most {
                 self.crowded += 1;
                 return None;
@@ -230,7 +233,8 @@
         }
         let had: Vec<u64> = (0..wholes)
             .map(|whole| {
-                let charged = self.records.get(&asked.holder).map_or(0, |old| charge(config, now, old, whole));
+                let charged =
+                    self.records.get(&asked.holder).map_or(0, |old| charge(config, now, old, whole));
                 // What was in force before this divider's time is known from its holder alone; later, nothing is
                 // in force that is not charged.
                 let known = if now < self.waits_until(config, whole) { config.pool(whole) } else { charged };
--- a/crates/budget/src/holder.rs
+++ b/crates/budget/src/holder.rs
@@ -55,7 +55,7 @@
     }
 
     pub(crate) fn answered(&self, config: &Config, now: Time) -> bool {
-        self.answered.is_some_and(|at| now < at + config.every() * 2)
+        self.answered.is_some_and(|at| now < at + config.every() * 3 / 2)
     }
 
     pub(crate) fn promised(&self) -> Ballot {
@@ -90,9 +90,11 @@
 
     /// Asks. From now on no answer to an older question counts.
     pub(crate) fn ask(&mut self, config: &Config, now: Time) -> (Message, Vec<SocketAddrV4>) {
+        // Where nobody answered it asks sooner, so that what it has is renewed in time by whoever divides now.
+        let calm = self.seq == 0 || self.answered.is_some_and(|at| at >= self.asked);
         self.seq += 1;
         self.asked = now;
-        self.next = now + config.every();
+        self.next = now + if calm { config.every() } else { config.every() / 2 };
         let ask = Message::Ask {
             holder: self.id,
             seq: self.seq,
--- a/crates/budget/src/keeper.rs
+++ b/crates/budget/src/keeper.rs
@@ -57,6 +57,13 @@
         true
     }
 
+    /// Its own candidate has given up: the vote that this one gave it is free.
+    pub(crate) fn release(&mut self, id: u64) {
+        if self.given.as_ref().is_some_and(|given| given.ballot.id == id) {
+            self.given = None;
+        }
+    }
+
     /// Who has its vote.
     pub(crate) fn divider(&self, now: Time) -> Option<SocketAddrV4> {
         self.given.as_ref().filter(|given| now < given.until).map(|given| given.to)
--- a/crates/emulator/src/fleet.rs
+++ b/crates/emulator/src/fleet.rs
@@ -305,6 +305,7 @@
                 let name = change.name.clone();
                 changes.borrow_mut().push((i, name, change.generation, change.from, change.to));
             }),
+            budget: None,
         };
         let seed = Dice::new(self.plan.seed, &format!("{} {i} life {}", seat.name, seat.life)).bits();
         let (fleet, listener) = Fleet::new(platform, parts, self.plan.first as u32, seed);
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -90,6 +90,8 @@
     lives: u32,
     last: Option<Look>,
     line: String,
+    /// The last that it wrote that was no event: why it ended, if it says so.
+    words: Arc<Mutex<String>>,
 }
 
 /// The states of a life: over, running, stopped.
@@ -148,9 +150,17 @@
     report
 }
 
-/// A port of an address that the system picks; nobody else uses the address.
-fn free(ip: Ipv4Addr) -> io::Result<SocketAddr> {
-    std::net::TcpListener::bind((ip, 0))?.local_addr()
+/// A port of an address that the system picks; nobody else uses the address. Danger: what it picked before and was let
+/// go of it may pick again, for the same process.
+fn free(ip: Ipv4Addr, taken: &mut Vec<SocketAddr>) -> io::Result<SocketAddr> {
+    for _ in 0..100 {
+        let at = std::net::TcpListener::bind((ip, 0))?.local_addr()?;
+        if !taken.contains(&at) {
+            taken.push(at);
+            return Ok(at);
+        }
+    }
+    Err(io::Error::other(format!("{ip} has no free port")))
 }
 
 impl<'a> Rig<'a> {
@@ -171,13 +181,14 @@
             std::fs::create_dir_all(logs)?;
         }
         let mut seats = Vec::new();
+        let mut taken: Vec<SocketAddr> = (0..places).map(|i| relay.place(i).own.into()).collect();
         for (i, member) in plan.members.iter().enumerate() {
             seats.push(Seat {
                 name: member.name.clone(),
                 zone: plan.zones[member.zone].clone(),
                 place: member.place,
-                listen: free(own(member.place))?,
-                ops: free(own(member.place))?,
+                listen: free(own(member.place), &mut taken)?,
+                ops: free(own(member.place), &mut taken)?,
                 files: files.join(format!("{i}")),
                 process: None,
                 touched: Arc::default(),
@@ -187,6 +198,7 @@
                 lives: 0,
                 last: None,
                 line: String::new(),
+                words: Arc::default(),
             });
         }
         Ok(Rig {
@@ -397,6 +409,7 @@
         let mut process = Process::start(&mut command, &self.guard)?;
         if let Some(log) = process.log() {
             let (told, life, name) = (self.told.0.clone(), seat.lives, seat.name.clone());
+            let words = seat.words.clone();
             let kept = self.options.logs.as_ref().map(|logs| logs.join(format!("{i}-{name}-{life}.log")));
             // Ends with the process' log.
             std::thread::spawn(move || {
@@ -405,6 +418,9 @@
                     if let Some(kept) = &mut kept {
                         let _ = writeln!(kept, "{line}");
                     }
+                    if line.starts_with("cometcroft: ") && !line.starts_with("cometcroft: counters") {
+                        words.lock().unwrap_or_else(PoisonError::into_inner).clone_from(&line);
+                    }
                     if let Some(change) = change(&line) {
                         let (member, generation, to) = change;
                         let _ = told.send((Instant::now(), i, life, member, generation, to));
@@ -483,7 +499,8 @@
                 (None, _) => {}
                 (Some(status), leaving) => {
                     if leaving.is_none() || !status.success() {
-                        self.crashed.push(format!("{} ended: {status}", seat.name));
+                        let words = seat.words.lock().unwrap_or_else(PoisonError::into_inner);
+                        self.crashed.push(format!("{} ended: {status} {words}", seat.name));
                     }
                     seat.put(OVER);
                     (seat.process, seat.leaving, seat.last) = (None, None, None);
--- a/crates/sidecar/src/backend.rs
+++ b/crates/sidecar/src/backend.rs
@@ -1,6 +1,7 @@
 //! Connections to backend servers: opened as needed, kept while idle, one request at a time on each.
 
 use crate::counters::{Counters, count};
+use crate::purse::Purses;
 use cometcroft::UpstreamId;
 use cometcroft_platform::{Platform, Stream};
 use std::cell::{Cell, RefCell};
@@ -38,6 +39,7 @@
     keep: Cell<Duration>,
     connect_timeout: Cell<Duration>,
     counters: Rc<Counters>,
+    purses: Option<Rc<Purses<P>>>,
 }
 
 impl<P: Platform> Pool<P> {
@@ -45,9 +47,9 @@
     pub fn new(
         platform: P,
         most: usize,
-        idle: Duration,
-        connect_timeout: Duration,
+        [idle, connect_timeout]: [Duration; 2],
         counters: Rc<Counters>,
+        purses: Option<Rc<Purses<P>>>,
     ) -> Rc<Pool<P>> {
         Rc::new(Pool {
             platform,
@@ -57,6 +59,7 @@
             keep: Cell::new(kept(idle)),
             connect_timeout: Cell::new(connect_timeout),
             counters,
+            purses,
         })
     }
 
@@ -82,6 +85,13 @@
         }
         // The place is taken before the wait, or many waiting at once would pass the limit.
         let place = Place::take(self);
+        // Danger: a fleet that reconnects all at once would bring down what it reconnects to.
+        if let Some(purses) = &self.purses
+            && !purses.connects(until).await
+        {
+            count(&self.counters.connections_barred);
+            return Err(io::ErrorKind::QuotaExceeded.into());
+        }
         let until = until.min(self.platform.now() + self.connect_timeout.get());
         let stream = self.platform.timeout_at(until, self.platform.connect(address)).await??;
         stream.set_nodelay()?;
--- a/crates/sidecar/src/counters.rs
+++ b/crates/sidecar/src/counters.rs
@@ -39,6 +39,12 @@
     repeated_ids,
     /// Requests rejected as malformed or oversized, never dispatched.
     bad_requests,
+    /// Requests refused as the fleet's budget for them is used up.
+    budget_refused,
+    /// Attempts beyond the first that were not sent as the fleet's budget for them is used up.
+    retries_barred,
+    /// Connections that were not made in time as the fleet's budget for them is used up.
+    connections_barred,
     /// Sessions taken in.
     sessions,
     /// Sessions answered with a backend server's answer.
--- a/crates/sidecar/src/dispatch.rs
+++ b/crates/sidecar/src/dispatch.rs
@@ -5,6 +5,7 @@
 use crate::http::client;
 use crate::http::server::Request;
 use crate::probe;
+use crate::purse::Purses;
 use crate::session::{Carrier, Ended, Later, Probed};
 use crate::upload::Upload;
 use cometcroft::{ClassId, Outcome, UpstreamId};
@@ -23,6 +24,8 @@
     pub class: ClassId,
     /// Its body, if that is not part of the request.
     pub upload: Option<Upload>,
+    /// Attempts that were begun.
+    pub begun: Cell<u32>,
 }
 
 /// Brings dispatches and probes to backend servers over HTTP.
@@ -32,6 +35,8 @@
     pub exchanger: Exchanger<P>,
     /// The values that load reports hold.
     pub fields: Rc<RefCell<Rc<[Field]>>>,
+    /// What may be spent of the fleet's budgets, if there are any.
+    pub purses: Option<Rc<Purses<P>>>,
 }
 
 impl<P: Platform> Carrier for HttpCarrier<P> {
@@ -69,6 +74,13 @@
         if payload.upload.as_ref().is_some_and(Upload::spent) {
             return Ended { outcome: Outcome::Moot, report: None, answer: None };
         }
+        let first = payload.begun.replace(payload.begun.get() + 1) == 0;
+        if let Some(purses) = self.purses.as_ref().filter(|_| !first)
+            && !purses.retries()
+        {
+            count(&self.exchanger.counters.retries_barred);
+            return Ended { outcome: Outcome::Moot, report: None, answer: None };
+        }
         let message = || {
             let wait = ends.saturating_duration_since(platform.now());
             match &payload.upload {
--- a/crates/sidecar/src/exchange.rs
+++ b/crates/sidecar/src/exchange.rs
@@ -37,17 +37,24 @@
     Broken,
     /// What came can't be the answer to it.
     Spoilt,
+    /// The fleet has no more connections to give: it says nothing of the backend server.
+    Barred,
 }
 
 impl From<&io::Error> for Lack {
     fn from(error: &io::Error) -> Lack {
-        if error.kind() == io::ErrorKind::InvalidData { Lack::Spoilt } else { Lack::Broken }
+        match error.kind() {
+            io::ErrorKind::InvalidData => Lack::Spoilt,
+            io::ErrorKind::QuotaExceeded => Lack::Barred,
+            _ => Lack::Broken,
+        }
     }
 }
 
 /// What an attempt that got no answer proves.
 pub fn without_answer(stage: Stage, lack: Lack) -> Outcome {
     match (stage, lack) {
+        (_, Lack::Barred) => Outcome::Moot,
         (Stage::Unwritten, _) => Outcome::ConnectFailed,
         (Stage::Written, Lack::Late) => Outcome::Timeout,
         (Stage::Written, Lack::Broken) => Outcome::Reset,
--- a/crates/sidecar/src/fleet.rs
+++ b/crates/sidecar/src/fleet.rs
@@ -1,6 +1,8 @@
 //! This sidecar as a member of its fleet: the driver of [`Membership`] on a [`Platform`]. The data path never waits for
 //! it; what it learns reaches the module as settings.
 
+use crate::purse::{BudgetParts, Purses};
+use cometcroft_budget::is_ours;
 use cometcroft_membership::{Change, Config, Headcount, MAX_DATAGRAM, Membership, Output, Time};
 use cometcroft_platform::{Datagrams, Listener, Platform, Task};
 use std::cell::{Cell, RefCell};
@@ -31,6 +33,8 @@
     pub from: IpAddr,
     /// Hears of changes.
     pub watcher: Watcher,
+    /// Its part in the fleet's budgets, if there are any.
+    pub budget: Option<BudgetParts>,
 }
 
 /// A member of a fleet.
@@ -48,12 +52,13 @@
     calls: Cell<usize>,
     visitors: Cell<usize>,
     watcher: Watcher,
+    purses: Option<Rc<Purses<P>>>,
 }
 
 impl<P: Platform> Fleet<P> {
     /// A member that starts now; `instances` is how many are at work by the settings.
     pub fn new(platform: P, parts: FleetParts<P>, instances: u32, seed: u64) -> (Rc<Fleet<P>>, P::Listener) {
-        let FleetParts { config, socket, listener, from, watcher } = parts;
+        let FleetParts { config, socket, listener, from, watcher, budget } = parts;
         let origin = platform.now();
         let (tier, cautious, settle) = (config.tier, config.parts.cautious, config.timing.settle);
         let unix = platform.unix().as_millis() as u64;
@@ -70,6 +75,7 @@
             calls: Cell::new(0),
             visitors: Cell::new(0),
             watcher,
+            purses: budget.map(|parts| Purses::new(platform.clone(), parts)),
             platform,
         };
         (Rc::new(fleet), listener)
@@ -86,13 +92,16 @@
         let mut buffer = [0; MAX_DATAGRAM + 1];
         loop {
             let due = self.origin + self.machine.borrow().next_at();
+            let lent = self.purses.as_ref().map(|purses| purses.next_at());
             tokio::select! {
                 biased;
                 // Danger: who floods it with datagrams must not keep it from its times.
                 () = self.platform.sleep_until(due) => self.machine.borrow_mut().tick(self.now()),
+                () = self.platform.sleep_until(lent.unwrap_or(due)), if lent.is_some() => self.tick_purses(),
                 () = self.wake.notified() => {}
+                () = lacking(&self.purses) => self.tick_purses(),
                 got = self.socket.receive(&mut buffer) => match got {
-                    Ok((length, _)) => self.machine.borrow_mut().receive(self.now(), &buffer[..length]),
+                    Ok((length, from)) => self.hear(from, &buffer[..length]),
                     // Out of memory or the like: not in a tight loop.
                     Err(_) => self.platform.sleep(Duration::from_millis(5)).await,
                 },
@@ -101,6 +110,19 @@
         }
     }
 
+    fn tick_purses(&self) {
+        if let Some(purses) = &self.purses {
+            purses.tick();
+        }
+    }
+
+    fn hear(&self, from: SocketAddr, bytes: &[u8]) {
+        match (&self.purses, from) {
+            (Some(purses), SocketAddr::V4(from)) if is_ours(bytes) => purses.receive(from, bytes),
+            _ => self.machine.borrow_mut().receive(self.now(), bytes),
+        }
+    }
+
     /// Does what the machine wants done.
     fn flush(self: &Rc<Self>) {
         loop {
@@ -128,7 +150,11 @@
         let machine = self.machine.borrow();
         let (reached, known) = machine.reach();
         let count = self.count.borrow_mut().see(now, machine.at_work(self.tier), reached, known);
-        if self.in_force.replace(count) != count {
+        let purses = self.purses.as_ref();
+        while let Some((to, bytes)) = purses.and_then(|purses| purses.output()) {
+            drop(self.socket.send(&bytes, to.into()));
+        }
+        if self.in_force.replace(count) != count || purses.is_some_and(|purses| purses.unsettled()) {
             self.counted.notify_one();
         }
     }
@@ -177,6 +203,9 @@
     /// It leaves in order.
     pub fn leave(&self) {
         self.machine.borrow_mut().leave(self.now());
+        if let Some(purses) = &self.purses {
+            purses.leave();
+        }
         self.wake.notify_one();
     }
 
@@ -185,7 +214,12 @@
         self.in_force.get()
     }
 
-    /// Waits until that is another number.
+    /// Its budgets, if it has any.
+    pub fn purses(&self) -> Option<&Rc<Purses<P>>> {
+        self.purses.as_ref()
+    }
+
+    /// Waits until that is another number, or its parts of the tenants' quotas are.
     pub async fn recounted(&self) {
         self.counted.notified().await;
     }
@@ -200,10 +234,21 @@
         let report = self.ask(Membership::report);
         let mut value = serde_json::to_value(report).unwrap_or_default();
         value["at_work"] = self.at_work().into();
+        if let Some(purses) = &self.purses {
+            value["budgets"] = serde_json::to_value(purses.report()).unwrap_or_default();
+        }
         value.to_string()
     }
 }
 
+/// Waits until a use was refused for lack; for ever where nothing is divided.
+async fn lacking<P: Platform>(purses: &Option<Rc<Purses<P>>>) {
+    match purses {
+        Some(purses) => purses.lacks.notified().await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Ends its task with itself.
 struct Guard<T: Task>(T);
 
--- a/crates/sidecar/src/frontend.rs
+++ b/crates/sidecar/src/frontend.rs
@@ -9,6 +9,7 @@
 use crate::http::server::{Coding, Connection, Request, Status, Step};
 use crate::http::{Fault, MAX_BODY, MAX_BULK, Piece};
 use crate::lifecycle::{Life, Machine};
+use crate::purse::{Held as Spent, Purses};
 use crate::session::{Carrier, Host, Opening, Verdict};
 use crate::upload::{Budget, Patience, Upload};
 use bytes::{Bytes, BytesMut};
@@ -58,6 +59,7 @@
     turn: Cell<u64>,
     /// The ids of all open requests.
     ids: RefCell<HashSet<Bytes>>,
+    purses: Option<Rc<Purses<C::Platform>>>,
 }
 
 /// A connection with no open request.
@@ -76,6 +78,7 @@
         life: Rc<Life<C::Platform>>,
         counters: Rc<Counters>,
         [most, memory]: [usize; 2],
+        purses: Option<Rc<Purses<C::Platform>>>,
     ) -> Rc<Frontend<C>> {
         Rc::new(Frontend {
             platform: host.platform().clone(),
@@ -91,6 +94,7 @@
             waiting: RefCell::default(),
             turn: Cell::new(0),
             ids: RefCell::default(),
+            purses,
         })
     }
 
@@ -296,6 +300,18 @@
             Err(fault) => return self.turn_away(stream, machine, fault.into()).await,
         };
         let (class, payload) = (opening.class, opening.payload.clone());
+        // Given back with the answer.
+        let _spent = match self.spend(&payload) {
+            Ok(spent) => spent,
+            Err(after) => {
+                drop(id);
+                count(&self.counters.budget_refused);
+                self.counters.figures.count(class, |tally| &mut tally.throttled);
+                // Danger: what of its body is still to come would pass for the next request.
+                self.deny(stream, machine, Some(after), !whole || closes()).await?;
+                return Ok(whole.then(|| early.unwrap_or_else(|| self.platform.now())));
+            }
+        };
         // Taken it is when its last byte has come.
         let mut _open = whole.then(|| self.counters.figures.begin());
         let budget = payload.request.budget().unwrap_or_default();
@@ -365,9 +381,7 @@
             }
             Verdict::Denied { retry_after } => {
                 tally(|tally| &mut tally.throttled);
-                let after = retry_after.unwrap_or(Duration::from_secs(1)).as_secs_f64();
-                let extra = format!("Retry-After: {after:.3}\r\n");
-                self.reply(stream, machine, Status::Unavailable, &extra, b"", close).await?;
+                self.deny(stream, machine, retry_after, close).await?;
             }
             Verdict::Failed | Verdict::Overdue => {
                 tally(|tally| &mut tally.faulted);
@@ -379,6 +393,26 @@
         Ok(Some(early.unwrap_or_else(|| self.platform.now())))
     }
 
+    /// Denies a request, with the time after which it may come again.
+    async fn deny(
+        &self,
+        stream: &mut StreamOf<C>,
+        machine: &mut Connection,
+        after: Option<Duration>,
+        close: bool,
+    ) -> io::Result<()> {
+        let after = after.unwrap_or(Duration::from_secs(1)).as_secs_f64();
+        let extra = format!("Retry-After: {after:.3}\r\n");
+        self.reply(stream, machine, Status::Unavailable, &extra, b"", close).await
+    }
+
+    /// What a request takes of the fleet's budgets, or after how long it may come again.
+    fn spend(&self, payload: &Payload) -> Result<Option<Spent<C::Platform>>, Duration> {
+        let Some(purses) = &self.purses else { return Ok(None) };
+        let caller = payload.request.headers.single("x-caller").ok().flatten();
+        purses.admit(caller.map(|caller| &caller[..]))
+    }
+
     /// Answers what can't be taken; its connection ends with it.
     async fn turn_away(
         &self,
@@ -453,7 +487,7 @@
         // The body of a large request has its time before that; SIGKILL waits for neither.
         let (left, due) = (left + more, due + more);
         let (left, due) = (left.min(last.unwrap_or(left)), now + due.min(last.unwrap_or(due)));
-        let payload = Rc::new(Payload { request, class, upload });
+        let payload = Rc::new(Payload { request, class, upload, begun: Cell::new(0) });
         Ok((Opening { class, tenant: tenant.map(TenantId), left, repeat, payload }, due))
     }
 
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod lifecycle;
 pub mod operator;
 pub mod probe;
+pub mod purse;
 pub mod retune;
 pub mod session;
 pub mod upload;
@@ -52,7 +53,7 @@
 /// How many sidecars are at work reaches the module so often at most.
 const RECOUNT: Duration = Duration::from_millis(250);
 
-/// Waits until another number of sidecars is at work; for ever where there is no fleet.
+/// Waits until another number of sidecars is at work, or its parts have changed; for ever where there is no fleet.
 async fn recounted<P: Platform>(fleet: &Option<Rc<Fleet<P>>>) {
     match fleet {
         Some(fleet) => fleet.recounted().await,
@@ -94,17 +95,20 @@
     let connections = sockets.saturating_sub(RESERVE.min(sockets / 4));
     let (to_clients, to_backends) = (connections * 11 / 20, connections * 9 / 20);
     let (idle, dial) = (config.net.idle, config.net.connect_timeout);
-    let pool = Pool::new(platform.clone(), to_backends, idle, dial, counters.clone());
+    let (instances, seed) = (config.settings.instances, config.seed);
+    let member = fleet.map(|parts| Fleet::new(platform.clone(), parts, instances, seed.rotate_left(32)));
+    let (fleet, meets) = member.unzip();
+    let purses = fleet.as_ref().and_then(|fleet| fleet.purses().cloned());
+    let pool = Pool::new(platform.clone(), to_backends, [idle, dial], counters.clone(), purses.clone());
     let grace = config.settings.rules.drain_grace;
     let directory = Rc::new(Directory::new(config.net.zones.clone(), grace, ORIGIN, platform.unix()));
     let exchanger =
         Exchanger { pool: pool.clone(), directory: directory.clone(), counters: counters.clone() };
     let fields = Rc::new(RefCell::new(config.fields.into()));
-    let carrier = wrap(HttpCarrier { exchanger, fields: fields.clone() });
+    let carrier = wrap(HttpCarrier { exchanger, fields: fields.clone(), purses: purses.clone() });
     let register = Register::new(&config.net.classes, &config.settings.classes);
-    let instances = config.settings.instances;
-    let said = (config.settings.clone(), config.net.clone());
-    let seed = config.seed;
+    // What the settings say, but for how many sidecars are at work: that is the fleet's to tell.
+    let mut said = fleet.as_ref().map(|_| (config.settings.clone(), config.net.clone()));
     let host =
         Host::new(carrier, config.settings, seed, ORIGIN, counters.clone()).map_err(io::Error::other)?;
     counters.figures.name(&config.net.classes);
@@ -127,19 +131,15 @@
             swept.sweep();
         }
     });
-    // What the settings say, but for how many sidecars are at work: that is the fleet's to tell.
-    let mut said = fleet.as_ref().map(|_| said);
-    let member = fleet.map(|parts| {
-        let (fleet, listener) = Fleet::new(platform.clone(), parts, instances, seed.rotate_left(32));
+    let members = fleet.as_ref().zip(meets).map(|(fleet, listener)| {
         let task = platform.spawn(fleet.clone().run(listener));
         let (leaver, told) = (fleet.clone(), life.clone());
         let leave = platform.spawn(async move {
             told.begun().await;
             leaver.leave();
         });
-        (fleet, [task, leave])
+        [task, leave]
     });
-    let (fleet, members) = member.unzip();
     let door = ops.map(|ops| {
         let door = Door::new(host.clone(), directory.clone(), life.clone(), counters.clone(), fleet.clone());
         platform.spawn(door.run(ops))
@@ -151,6 +151,7 @@
         life.clone(),
         counters,
         [to_clients, config.memory / 4],
+        purses.clone(),
     );
     let (tuned, tuner) = (frontend.clone(), platform.clone());
     let tune = platform.spawn(async move {
@@ -171,10 +172,16 @@
                     *said = (settings.clone(), net.clone());
                 }
                 settings.instances = fleet.as_ref().map_or(settings.instances, |fleet| fleet.at_work());
+                if let Some(purses) = &purses {
+                    purses.settle(&mut settings, &net.tenants);
+                }
                 tuned.retune(settings, &net.classes, net.tenants);
             } else if let (Some(fleet), Some((settings, net))) = (&fleet, &said) {
                 // All sums over the fleet are divided by who is there from now on.
-                let settings = Settings { instances: fleet.at_work(), ..settings.clone() };
+                let mut settings = Settings { instances: fleet.at_work(), ..settings.clone() };
+                if let Some(purses) = &purses {
+                    purses.settle(&mut settings, &net.tenants);
+                }
                 tuned.retune(settings, &net.classes, net.tenants.clone());
                 // Danger: hundreds that join in a second would have the module take new settings for each.
                 tuner.sleep(RECOUNT).await;
--- a/crates/sidecar/src/main.rs
+++ b/crates/sidecar/src/main.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 
 use clap::{Parser, Subcommand};
+use cometcroft_budget::Event;
 use cometcroft_membership::Change;
 use cometcroft_platform::{Platform, Tokio};
 use cometcroft_sidecar::Parts;
@@ -10,8 +11,10 @@
 use cometcroft_sidecar::counters::Counters;
 use cometcroft_sidecar::fleet::FleetParts;
 use cometcroft_sidecar::lifecycle::Life;
-use cometcroft_sidecar::operator::{FleetSection, Operator};
+use cometcroft_sidecar::operator::{BudgetSection, FleetSection, Operator};
+use cometcroft_sidecar::purse::BudgetParts;
 use cometcroft_sidecar::retune::Control;
+use std::hash::{BuildHasher, RandomState};
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -44,6 +47,9 @@
         Ok(operator) => {
             let told = operator.fleet.as_ref().map(FleetSection::told);
             println!("{}", told.unwrap_or_else(|| "nothing is switched on".to_owned()));
+            if let (Some(budget), Some(fleet)) = (&operator.budget, &operator.fleet) {
+                println!("{}", budget.told(fleet));
+            }
             ExitCode::SUCCESS
         }
         Err(error) => {
@@ -73,10 +79,8 @@
             return ExitCode::from(2);
         }
     };
-    let fleet = operator
-        .fleet
-        .map(|section| (section.member(&config), section))
-        .map(|(member, section)| member.map(|member| (member, section)));
+    let Operator { fleet, budget } = operator;
+    let fleet = fleet.map(|section| joins(section, budget.as_ref(), &config));
     let fleet = match fleet.transpose() {
         Ok(fleet) => fleet,
         Err(error) => {
@@ -106,6 +110,27 @@
     }
 }
 
+/// What a member of a fleet is told: as a member, of its budgets if there are any, and the file's section.
+type Joins = (cometcroft_membership::Config, Option<BudgetParts>, FleetSection);
+
+fn joins(section: FleetSection, budget: Option<&BudgetSection>, config: &Config) -> Result<Joins, String> {
+    let member = section.member(config)?;
+    let budget = budget.map(|budget| budget.told_to(&section, config)).transpose()?;
+    let budget = budget.map(|(config, uses)| BudgetParts {
+        config,
+        uses,
+        // Danger: two starts with one number would be one holder; neither the clock nor the file makes it.
+        id: RandomState::new().hash_one(std::process::id()),
+        listener: Box::new(|event| match event {
+            Event::Elected { term } => tracing::info!(term, "divides the budgets"),
+            Event::SteppedDown => tracing::info!("divides the budgets no more"),
+            Event::Lapsed => tracing::warn!("parts of the budgets have lapsed"),
+            Event::Regained => tracing::info!("has parts of the budgets"),
+        }),
+    });
+    Ok((member, budget, section))
+}
+
 fn variable(name: &str) -> Option<String> {
     std::env::var(name).ok()
 }
@@ -114,7 +139,7 @@
     config: Config,
     inherited: Option<std::net::TcpListener>,
     counters: Rc<Counters>,
-    fleet: Option<(cometcroft_membership::Config, FleetSection)>,
+    fleet: Option<Joins>,
 ) -> std::io::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
@@ -146,17 +171,14 @@
         None => None,
     };
     let fleet = match fleet {
-        Some((member, section)) => Some(join(member, &section).await?),
+        Some(fleet) => Some(join(fleet).await?),
         None => None,
     };
     cometcroft_sidecar::run(Tokio, config, Parts { listener, ops, control, life, counters, fleet }).await
 }
 
 /// Opens a member's sockets, and has its changes told in the log as lines of JSON.
-async fn join(
-    member: cometcroft_membership::Config,
-    section: &FleetSection,
-) -> std::io::Result<FleetParts<Tokio>> {
+async fn join((member, budget, section): Joins) -> std::io::Result<FleetParts<Tokio>> {
     tracing_subscriber::fmt().json().with_writer(std::io::stderr).init();
     let at = section.listens();
     let named = |error: std::io::Error| std::io::Error::new(error.kind(), format!("fleet: {at}: {error}"));
@@ -169,5 +191,5 @@
             "member changed"
         );
     });
-    Ok(FleetParts { config: member, socket, listener, from: at.ip(), watcher })
+    Ok(FleetParts { config: member, socket, listener, from: at.ip(), watcher, budget })
 }
--- a/crates/sidecar/src/operator.rs
+++ b/crates/sidecar/src/operator.rs
@@ -1,6 +1,9 @@
 //! The operator's file: what is off unless it is switched on here. `deploy/operator.toml` is an example with comments.
 
 use crate::config::Config;
+use crate::purse::Use;
+use cometcroft_budget as budget;
+use cometcroft_budget::{Kind, Whole};
 use cometcroft_membership as membership;
 use cometcroft_membership::{Name, Timing};
 use cometcroft_tomlfile::{FileError, Time};
@@ -20,6 +23,64 @@
 pub struct Operator {
     /// Membership among the sidecars.
     pub fleet: Option<FleetSection>,
+    /// Budgets of the whole fleet.
+    pub budget: Option<BudgetSection>,
+}
+
+/// `[budget]`.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct BudgetSection {
+    /// Who elects the divider: addresses as advertised, one, three, five or seven, the same in all files.
+    pub keepers: Vec<SocketAddrV4>,
+    /// Who has the floors.
+    #[serde(default)]
+    pub roster: Vec<SocketAddrV4>,
+    /// For how long a part is lent.
+    #[serde(default = "lease")]
+    pub lease: Time,
+    /// How much this sidecar counts in the division.
+    #[serde(default = "one")]
+    pub weight: u32,
+    /// What is divided.
+    #[serde(rename = "whole", default)]
+    pub wholes: Vec<WholeSection>,
+}
+
+/// `[[budget.whole]]`.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct WholeSection {
+    /// What it is spent on.
+    #[serde(rename = "use")]
+    pub what: UseWord,
+    /// Whose requests.
+    pub tenant: Option<String>,
+    /// So many a second.
+    pub rate: Option<f64>,
+    /// And so many beyond that in any window; the rate of a second if not said.
+    pub burst: Option<f64>,
+    /// So many at once.
+    pub level: Option<u32>,
+    /// None of which takes longer; the longest deadline of the settings if not said.
+    pub longest: Option<Time>,
+    /// What each place of the roster has without any lease.
+    #[serde(default)]
+    pub floor: f64,
+}
+
+/// What a whole may be spent on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum UseWord {
+    /// Requests of a tenant.
+    Tenant,
+    /// Requests open at once.
+    Open,
+    /// Attempts beyond a request's first.
+    Retries,
+    /// New connections to backend servers.
+    Connections,
 }
 
 /// `[fleet]`.
@@ -60,6 +121,14 @@
     pub forget: Option<Time>,
 }
 
+fn lease() -> Time {
+    Time(4.0, 4.0)
+}
+
+fn one() -> u32 {
+    1
+}
+
 fn pause() -> Time {
     PAUSE
 }
@@ -85,6 +154,14 @@
                 FileError::at(file, text, at, field, &reason)
             })?;
         }
+        if let Some(budget) = &operator.budget {
+            budget.check(operator.fleet.as_ref()).map_err(|(whole, field, reason)| {
+                let table = |i| text.match_indices("[[budget.whole]]").nth(i).map(|(at, _)| at);
+                let from = whole.and_then(table).or_else(|| text.find("[budget]")).unwrap_or(0);
+                let at = text[from..].find(&format!("\n{field}")).map_or(from, |at| from + at + 1);
+                FileError::at(file, text, at, field, &reason)
+            })?;
+        }
         Ok(operator)
     }
 }
@@ -189,6 +266,110 @@
     }
 }
 
+/// Which whole, which field, what is wrong with it.
+type Wrong = (Option<usize>, &'static str, String);
+
+impl BudgetSection {
+    fn wholes(&self, longest: Duration) -> Result<Vec<(Whole, Use)>, Wrong> {
+        let thousandths = |figure: f64| (figure * 1000.0).round() as u64;
+        let each = |(i, section): (usize, &WholeSection)| {
+            let bad = |field, reason: &str| Err((Some(i), field, reason.to_owned()));
+            let (level, tenant) = (section.what == UseWord::Open, section.what == UseWord::Tenant);
+            if section.tenant.is_some() != tenant {
+                return bad(
+                    "tenant",
+                    if tenant { "is missing" } else { "belongs to use = \"tenant\" alone" },
+                );
+            }
+            if section.level.is_some() != level {
+                return bad("level", if level { "is missing" } else { "belongs to use = \"open\" alone" });
+            }
+            if section.rate.is_some() == level {
+                return bad("rate", if level { "this use has a level" } else { "is missing" });
+            }
+            if level && section.burst.is_some() || !level && section.longest.is_some() {
+                let field = if level { "burst" } else { "longest" };
+                return bad(field, "does not belong to this use");
+            }
+            let figures = [section.rate, section.burst, Some(section.floor)];
+            if figures.into_iter().flatten().any(|figure| !(0.0..=1e9).contains(&figure)) {
+                return bad("rate", "rate, burst and floor must be between 0 and 1e9");
+            }
+            let rate = section.rate.unwrap_or_default();
+            let (kind, size) = match section.level {
+                Some(level) => {
+                    let longest = section.longest.map_or(longest, Time::exact);
+                    (Kind::Level { longest }, u64::from(level) * 1000)
+                }
+                None => (Kind::Rate { burst: thousandths(section.burst.unwrap_or(rate)) }, thousandths(rate)),
+            };
+            let (name, what) = match (section.what, &section.tenant) {
+                (UseWord::Tenant, tenant) => {
+                    let tenant = tenant.clone().unwrap_or_default();
+                    (format!("tenant {tenant}"), Use::Tenant(tenant))
+                }
+                (UseWord::Open, _) => ("open".to_owned(), Use::Open),
+                (UseWord::Retries, _) => ("retries".to_owned(), Use::Retries),
+                (UseWord::Connections, _) => ("connections".to_owned(), Use::Connections),
+            };
+            Ok((Whole { name, kind, size, floor: thousandths(section.floor) }, what))
+        };
+        self.wholes.iter().enumerate().map(each).collect()
+    }
+
+    fn check(&self, fleet: Option<&FleetSection>) -> Result<(), Wrong> {
+        let Some(fleet) = fleet else {
+            return Err((None, "keepers", "budgets need a [fleet] beside them".to_owned()));
+        };
+        let (config, _) = self.config(fleet, Duration::from_secs(1))?;
+        config.check().map_err(|(field, reason)| (None, field, reason))
+    }
+
+    fn config(&self, fleet: &FleetSection, longest: Duration) -> Result<(budget::Config, Vec<Use>), Wrong> {
+        let address = fleet.advertise.unwrap_or(fleet.bind);
+        let lease = self.lease.exact();
+        let mut config = budget::Config::new(&fleet.name, address, self.keepers.clone(), lease);
+        (config.roster, config.weight, config.most) = (self.roster.clone(), self.weight, fleet.most);
+        let (wholes, uses) = self.wholes(longest)?.into_iter().unzip();
+        config.wholes = wholes;
+        Ok((config, uses))
+    }
+
+    /// What a sidecar is told of the budgets, and what each whole is spent on.
+    pub fn told_to(
+        &self,
+        fleet: &FleetSection,
+        config: &Config,
+    ) -> Result<(budget::Config, Vec<Use>), String> {
+        // The sidecar itself ends a request at its deadline.
+        let told = self.config(fleet, config.longest_deadline());
+        told.map_err(|(_, field, reason)| format!("{field}: {reason}"))
+    }
+
+    /// What the section comes to, in a few lines.
+    pub fn told(&self, fleet: &FleetSection) -> String {
+        let Ok((config, _)) = self.config(fleet, Duration::from_secs(1)) else { return String::new() };
+        let mut text = format!(
+            "budgets of {:016x}: {} keepers, lent for {:?}, a new divider after {:?}",
+            config.digest(),
+            config.keepers.len(),
+            config.lease,
+            config.over(config.term()),
+        );
+        for (i, whole) in config.wholes.iter().enumerate() {
+            let f = |thousandths: u64| thousandths as f64 / 1000.0;
+            let kind = match whole.kind {
+                Kind::Rate { burst } => format!("a second, burst {}", f(burst)),
+                Kind::Level { .. } => "at once".to_owned(),
+            };
+            let (size, floor) = (f(whole.size), f(whole.floor));
+            let least = f(config.unit(i));
+            text += &format!("\n  {}: {size} {kind}; least part {least}, floor {floor}", whole.name);
+        }
+        text
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- /dev/null
+++ b/crates/sidecar/src/purse.rs
@@ -0,0 +1,203 @@
+//! What this sidecar may spend of the fleet's budgets: the driver of [`Budget`] on a [`Platform`], and the guards at the
+//! places where it is spent. The protocol's datagrams come and go by the fleet's socket.
+
+use cometcroft::Settings;
+use cometcroft_budget::{Budget, Config, Event, Kind, Report, Time};
+use cometcroft_platform::Platform;
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::sync::Notify;
+
+/// What a whole of the file is spent on.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Use {
+    /// Requests of a tenant, by the name that its callers give.
+    Tenant(String),
+    /// Requests open at once.
+    Open,
+    /// Attempts beyond a request's first.
+    Retries,
+    /// New connections to backend servers.
+    Connections,
+}
+
+/// What hears of events worth a line in the log.
+pub type Listener = Box<dyn Fn(Event)>;
+
+/// What a sidecar is given for its budgets.
+pub struct BudgetParts {
+    /// What it is told.
+    pub config: Config,
+    /// What each whole is spent on, in their order.
+    pub uses: Vec<Use>,
+    /// A number that no other start of any sidecar has.
+    pub id: u64,
+    /// Hears of events.
+    pub listener: Listener,
+}
+
+/// The budgets of a sidecar, and where they are spent.
+pub struct Purses<P: Platform> {
+    platform: P,
+    origin: Instant,
+    budget: RefCell<Budget>,
+    uses: Vec<Use>,
+    listener: Listener,
+    /// The shares of the tenants as the module has been told.
+    told: RefCell<Vec<u64>>,
+    /// Somebody lacks something: the protocol may have to ask.
+    pub(crate) lacks: Notify,
+    urgent: Cell<Time>,
+}
+
+/// A use of a level, given back when it is dropped.
+pub struct Held<P: Platform>(Rc<Purses<P>>, usize);
+
+impl<P: Platform> Drop for Held<P> {
+    fn drop(&mut self) {
+        self.0.budget.borrow_mut().put_back(self.1);
+    }
+}
+
+impl<P: Platform> Purses<P> {
+    /// The budgets of a sidecar that starts now.
+    pub fn new(platform: P, parts: BudgetParts) -> Rc<Purses<P>> {
+        let BudgetParts { config, uses, id, listener } = parts;
+        let origin = platform.now();
+        Rc::new(Purses {
+            origin,
+            told: RefCell::new(vec![0; uses.len()]),
+            budget: RefCell::new(Budget::new(config, Time::ZERO, id)),
+            uses,
+            listener,
+            lacks: Notify::new(),
+            urgent: Cell::new(Time::ZERO),
+            platform,
+        })
+    }
+
+    fn now(&self) -> Time {
+        self.platform.since(self.origin)
+    }
+
+    fn which(&self, wanted: &Use) -> Option<usize> {
+        self.uses.iter().position(|each| each == wanted)
+    }
+
+    /// One use. Danger: the time is read here, after whatever the use waited for; a part may have lapsed meanwhile.
+    fn take(&self, whole: usize) -> Result<(), Duration> {
+        let now = self.now();
+        let taken = self.budget.borrow_mut().take(whole, now);
+        if taken.is_err() && now >= self.urgent.get() {
+            // A need that can't be met is told soon, but not at each refusal.
+            self.urgent.set(now + self.budget.borrow().config().every() / 16);
+            self.lacks.notify_one();
+        }
+        taken
+    }
+
+    /// Whether a request of this caller is taken; else after how long it may come again.
+    pub fn admit(self: &Rc<Self>, caller: Option<&[u8]>) -> Result<Option<Held<P>>, Duration> {
+        let open = match self.which(&Use::Open) {
+            Some(whole) => {
+                self.take(whole)?;
+                Some(Held(self.clone(), whole))
+            }
+            None => None,
+        };
+        let tenant = |each: &Use| matches!(each, Use::Tenant(name) if Some(name.as_bytes()) == caller);
+        if let Some(whole) = self.uses.iter().position(tenant) {
+            self.take(whole)?;
+        }
+        Ok(open)
+    }
+
+    /// Whether an attempt beyond a request's first may go out.
+    pub fn retries(&self) -> bool {
+        self.which(&Use::Retries).is_none_or(|whole| self.take(whole).is_ok())
+    }
+
+    /// Waits until a new connection may be made, until then at the latest; whether it may.
+    pub async fn connects(&self, until: Instant) -> bool {
+        let Some(whole) = self.which(&Use::Connections) else { return true };
+        loop {
+            let Err(wait) = self.take(whole) else { return true };
+            let next = self.platform.now() + wait.max(Duration::from_millis(1));
+            if next > until {
+                return false;
+            }
+            self.platform.sleep_until(next).await;
+        }
+    }
+
+    /// One use of a whole by its place in the file, as the emulator's load does.
+    pub fn spend(self: &Rc<Self>, whole: usize) -> Option<Option<Held<P>>> {
+        self.take(whole).ok()?;
+        let level = matches!(self.budget.borrow().config().wholes[whole].kind, Kind::Level { .. });
+        Some(level.then(|| Held(self.clone(), whole)))
+    }
+
+    /// The module goes by this sidecar's own parts of the tenants' quotas: it divides by the number of sidecars, so it is
+    /// given that many times the part.
+    pub fn settle(&self, settings: &mut Settings, tenants: &[String]) {
+        let (now, budget) = (self.now(), self.budget.borrow());
+        for (whole, each) in self.uses.iter().enumerate() {
+            let Use::Tenant(name) = each else { continue };
+            let part = budget.part(whole, now);
+            self.told.borrow_mut()[whole] = part;
+            let tenant = tenants.iter().position(|tenant| tenant == name);
+            if let Some(tenant) = tenant.and_then(|tenant| settings.tenants.get_mut(tenant)) {
+                tenant.quota_per_s = part as f64 / 1000.0 * f64::from(settings.instances);
+            }
+        }
+    }
+
+    /// Whether a part differs so much from what the module was told that it has to be told again.
+    pub(crate) fn unsettled(&self) -> bool {
+        let (now, budget, told) = (self.now(), self.budget.borrow(), self.told.borrow());
+        let differs = |(whole, each): (usize, &Use)| {
+            let part = budget.part(whole, now);
+            matches!(each, Use::Tenant(_)) && part.abs_diff(told[whole]) * 20 > part.max(told[whole])
+        };
+        self.uses.iter().enumerate().any(differs)
+    }
+
+    pub(crate) fn next_at(&self) -> Instant {
+        self.origin + self.budget.borrow().next_at()
+    }
+
+    pub(crate) fn tick(&self) {
+        self.budget.borrow_mut().tick(self.now());
+    }
+
+    pub(crate) fn receive(&self, from: SocketAddrV4, bytes: &[u8]) {
+        // Danger: the time is read after the message has come: a part is lent from then on, not from before.
+        self.budget.borrow_mut().receive(self.now(), from, bytes);
+    }
+
+    pub(crate) fn leave(&self) {
+        self.budget.borrow_mut().leave(self.now());
+    }
+
+    /// What is to be sent next; events are told on the way.
+    pub(crate) fn output(&self) -> Option<(SocketAddrV4, Vec<u8>)> {
+        loop {
+            let event = self.budget.borrow_mut().event();
+            let Some(event) = event else { break };
+            (self.listener)(event);
+        }
+        self.budget.borrow_mut().output()
+    }
+
+    /// Looks at the budgets.
+    pub fn ask<T>(&self, what: impl FnOnce(&Budget, Time) -> T) -> T {
+        what(&self.budget.borrow(), self.now())
+    }
+
+    /// Itself, for operators.
+    pub fn report(&self) -> Report {
+        self.budget.borrow_mut().report(self.now())
+    }
+}
--- a/crates/sidecar/tests/parts.rs
+++ b/crates/sidecar/tests/parts.rs
@@ -77,7 +77,7 @@
         let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let (at, to) = (listener.local_addr().expect("an address"), UpstreamId(0));
         let (counters, second) = (std::rc::Rc::new(Counters::default()), Duration::from_secs(1));
-        let pool = Pool::new(Tokio, 9, 5 * second, second, counters.clone());
+        let pool = Pool::new(Tokio, 9, [5 * second, second], counters.clone(), None);
         let get = || pool.get(to, at, Tokio.now() + second);
         pool.put(to, get().await.expect("it listens"));
         pool.put(to, get().await.expect("it listens"));
