Budgets under 14 scripts of faults, on the emulator and on real processes, one judge for both

Need: the promise has to be shown on several processes with faults between them, by what backend servers in fact receive.

Scripts get [fleet.budget]; the judge adds up parts in force, uses in any window and uses at once.

Cause before change, by a trace of parts and needs: a need that fell was still asked for for 2 s (memory of one fixed length), what was given up was charged for a round more. Now a meter that follows a jump and then forgets it, and a holder that confirms at once.

--- a/crates/budget/src/holder.rs
+++ b/crates/budget/src/holder.rs
@@ -4,6 +4,9 @@
 use crate::message::{Ballot, Message};
 use std::net::SocketAddrV4;
 
+/// So many questions are asked sooner once a need has grown.
+const HURRY: u8 = 8;
+
 /// What a holder knows.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Holder {
@@ -20,6 +23,9 @@
     parts: Vec<u64>,
     until: Time,
     want: Vec<u64>,
+    /// What it needed when it asked last, and for how many questions more it asks soon, as that has changed.
+    told: Vec<u64>,
+    hurry: u8,
     /// What is out of each level, in thousandths.
     out: Vec<u64>,
     leaving: bool,
@@ -39,6 +45,8 @@
             parts: none.clone(),
             until: now,
             want: none.clone(),
+            told: none.clone(),
+            hurry: 0,
             out: none,
             leaving: false,
         }
@@ -71,8 +79,15 @@
         self.out[whole] = out;
         self.want[whole] = want;
         // A need that has outgrown its part does not wait for its turn.
-        if want > self.lent(whole, now) + config.floor(whole) {
+        let part = self.lent(whole, now) + config.floor(whole);
+        if want > part && want > self.told[whole] + self.told[whole] / 4 {
+            self.hurry = HURRY;
+        }
+        if want > part && self.hurry > 0 {
             self.next = self.next.min(self.asked + config.every() / 8);
+        } else if want * 2 < part {
+            // Nor does one that has fallen: another may lack what is not used here.
+            self.next = self.next.min(self.asked + config.every() / 4);
         }
     }
 
@@ -93,6 +108,8 @@
         // Where nobody answered it asks sooner, so that what it has is renewed in time by whoever divides now.
         let calm = self.seq == 0 || self.answered.is_some_and(|at| at >= self.asked);
         self.seq += 1;
+        self.hurry = self.hurry.saturating_sub(1);
+        self.told.clone_from(&self.want);
         self.asked = now;
         self.next = now + if calm { config.every() } else { config.every() / 2 };
         let ask = Message::Ask {
@@ -139,11 +156,18 @@
         if now >= until {
             return false;
         }
+        let gives = (0..parts.len()).any(|whole| parts[whole] < self.lent(whole, now));
         self.parts.copy_from_slice(parts);
         self.until = until;
         (self.divider, self.answered) = (Some(from), Some(now));
         let short = (0..parts.len()).any(|i| self.want[i] > parts[i] + config.floor(i));
-        self.next = self.asked + if short { config.every() / 2 } else { config.every() };
+        // Who has to give something up for it says so within a round.
+        let hurried = short && self.hurry > 0;
+        self.next = self.asked + if hurried { config.every() / 4 } else { config.every() };
+        if gives {
+            // What it has given up is charged until it says so.
+            self.next = self.next.min(now + config.every() / 16);
+        }
         true
     }
 
--- a/crates/emulator/src/fleet.rs
+++ b/crates/emulator/src/fleet.rs
@@ -5,6 +5,7 @@
 use crate::kernel::{Kernel, MS, Nanos, Pid, SEC};
 use crate::net::{HostId, Links, Net, Wire};
 use crate::platform::Emulated;
+use crate::share::{self, Divide, Follow, LEVEL, RATE, ShareReport, Spent, Till};
 use cometcroft_membership::{Config, Name, Parts, State, Timing};
 use cometcroft_script::{Broken, Doing, Judge, Look, Plan};
 use cometcroft_sidecar::fleet::{Fleet, FleetParts};
@@ -66,6 +67,8 @@
     pub bytes_s: f64,
     /// Bytes of exchanges among them.
     pub exchange_bytes_s: f64,
+    /// What the budget that it shares came to, if there is one.
+    pub share: Option<ShareReport>,
     /// Rules that were broken.
     pub broken: Vec<Broken>,
 }
@@ -84,6 +87,28 @@
     wronged: (u64, u64),
     equal_since: Option<Nanos>,
     exchanged: u64,
+    divide: Divide,
+    budget_parts: cometcroft_budget::Parts,
+    till: Rc<RefCell<Till>>,
+    sharing: Sharing,
+}
+
+/// What is counted of a budget.
+#[derive(Default)]
+struct Sharing {
+    /// Uses of the level that go on: who began them, until when.
+    open: Vec<(usize, Nanos)>,
+    wanted: u64,
+    admitted: u64,
+    /// Once the fleet had started: what was had and what could have been; by member what it had and needed.
+    had: f64,
+    possible: f64,
+    by_seat: Vec<(f64, f64)>,
+    follow: Follow,
+    most: f64,
+    looked: Nanos,
+    sent: (u64, u64),
+    elections: u64,
 }
 
 fn time(at: Nanos) -> Duration {
@@ -137,10 +162,20 @@
             wronged: (0, 0),
             equal_since: None,
             exchanged: 0,
+            divide: Divide::default(),
+            budget_parts: cometcroft_budget::Parts::default(),
+            till: Rc::default(),
+            sharing: Sharing { by_seat: vec![(0.0, 0.0); plan.members.len()], ..Sharing::default() },
             plan,
         }
     }
 
+    /// The same with its budget divided in another way, or by a protocol with a defect.
+    pub fn divided(mut self, divide: Divide, parts: cometcroft_budget::Parts) -> FleetRun {
+        (self.divide, self.budget_parts) = (divide, parts);
+        self
+    }
+
     /// Plays to the end, or until a rule is broken if `stop` says so.
     pub fn play(&mut self, stop: bool) -> FleetReport {
         let until = self.plan.length.as_nanos() as Nanos;
@@ -152,16 +187,37 @@
             self.kernel.notes();
             self.kernel.taps();
             self.hear();
+            self.share();
             if stop && !self.judge.broken.is_empty() {
                 break;
             }
         }
+        self.judge_the_division();
         for i in 0..self.seats.len() {
             self.count_life(i);
         }
         self.report()
     }
 
+    /// Long after the last fault everybody who runs is answered by a divider.
+    fn judge_the_division(&mut self) {
+        let Some(budget) = &self.plan.budget else { return };
+        let (now, lease) = (time(self.kernel.now()), budget.lease);
+        if now < self.plan.quiet_from + lease * 3 {
+            return;
+        }
+        for (i, seat) in self.seats.iter().enumerate() {
+            let runs = seat.process.as_ref().filter(|(pid, _)| !self.kernel.stopped(*pid));
+            let purses = runs.and_then(|(_, fleet)| fleet.purses());
+            // One that has just started has not been answered yet.
+            let young = now < time(seat.started) + lease * 3;
+            if let Some(purses) = purses.filter(|_| !young) {
+                let answered = purses.ask(|budget, own| budget.core().answered(budget.config(), own));
+                self.judge.divided(now, i, answered);
+            }
+        }
+    }
+
     fn happen(&mut self, event: Event) {
         let now = self.kernel.now();
         match event {
@@ -191,6 +247,7 @@
                 } else if self.equal_since.is_none() {
                     self.equal_since = Some(now);
                 }
+                self.needs(now);
                 self.kernel.world_at(now + 100 * MS, Event::Equal);
             }
             Event::Garbage(i, rate) => {
@@ -277,6 +334,8 @@
             return;
         }
         let seeds = self.seats[..self.plan.seeds].iter().map(|seat| seat.address).collect();
+        let places: Vec<SocketAddrV4> =
+            self.seats[..self.plan.first].iter().map(|seat| seat.address).collect();
         let seat = &mut self.seats[i];
         seat.life += 1;
         seat.started = self.kernel.now();
@@ -296,6 +355,12 @@
         }
         let at = SocketAddr::V4(seat.address);
         let changes = self.changes.clone();
+        let life = Dice::new(self.plan.seed, &format!("{} {i} life {} holds", seat.name, seat.life)).bits();
+        let own = seat.address;
+        let budget = self.plan.budget.as_ref().filter(|_| self.divide == Divide::Lease).map(|budget| {
+            let told = share::told(&self.plan, budget, &places, own, self.budget_parts);
+            share::parts(told, life)
+        });
         let parts = FleetParts {
             config,
             socket: platform.datagrams(at),
@@ -305,13 +370,17 @@
                 let name = change.name.clone();
                 changes.borrow_mut().push((i, name, change.generation, change.from, change.to));
             }),
-            budget: None,
+            budget,
         };
         let seed = Dice::new(self.plan.seed, &format!("{} {i} life {}", seat.name, seat.life)).bits();
-        let (fleet, listener) = Fleet::new(platform, parts, self.plan.first as u32, seed);
+        let (fleet, listener) = Fleet::new(platform.clone(), parts, self.plan.first as u32, seed);
         self.judge.known(i, fleet.ask(|machine| machine.me().generation));
         let running = fleet.clone();
         self.kernel.spawn(pid, running.run(listener));
+        if let Some(budget) = &self.plan.budget {
+            let spends = (fleet.clone(), self.divide);
+            share::load(&self.kernel, &platform, spends, (&self.plan, budget, i), &self.till);
+        }
         seat.process = Some((pid, fleet));
     }
 
@@ -339,6 +408,12 @@
             seat.sent.0 += traffic.sent;
             seat.sent.1 += traffic.sent_bytes;
             self.exchanged += traffic.exchange_bytes / 2;
+            if let Some(purses) = fleet.purses() {
+                let counted = purses.ask(|budget, _| budget.counted());
+                self.sharing.sent.0 += counted.sent;
+                self.sharing.sent.1 += counted.sent_bytes;
+                self.sharing.elections += counted.elections;
+            }
             seat.lived += now - seat.started;
         }
     }
@@ -358,6 +433,7 @@
                 reached,
                 known,
                 superseded: machine.superseded(),
+                answered: None,
             }
         }))
     }
@@ -408,6 +484,105 @@
         }
     }
 
+    /// Where the fleet has started for the sake of the budget's figures.
+    fn started(&self) -> Nanos {
+        self.plan.budget.as_ref().map_or(0, |budget| 3 * budget.lease.as_nanos() as Nanos)
+    }
+
+    /// A tenth of a second of needs.
+    fn needs(&mut self, now: Nanos) {
+        let Some(budget) = self.plan.budget.clone() else { return };
+        let runs = |seat: &Seat| seat.process.as_ref().is_some_and(|(pid, _)| !self.kernel.stopped(*pid));
+        let need = |i: usize| budget.need(i, self.plan.first, time(now));
+        let needs: Vec<f64> =
+            self.seats.iter().enumerate().map(|(i, s)| if runs(s) { need(i) } else { 0.0 }).collect();
+        let all: f64 = needs.iter().sum();
+        let hot = (0..needs.len()).max_by(|a, b| need(*a).total_cmp(&need(*b))).unwrap_or_default();
+        if now < self.started() {
+            return;
+        }
+        self.sharing.possible += all.min(budget.rate) / 10.0;
+        for (of, need) in self.sharing.by_seat.iter_mut().zip(&needs) {
+            of.1 += need / 10.0;
+        }
+        // What the hot place can have once all others have what they need.
+        let room = (budget.rate - (all - needs[hot])).max(budget.rate / self.plan.first as f64);
+        self.sharing.follow.look(now, hot, needs[hot].min(room));
+    }
+
+    /// Holds what was spent and what is in force against the whole, after each step.
+    fn share(&mut self) {
+        let Some(budget) = &self.plan.budget else { return };
+        let (rate, level) = (budget.rate, budget.level);
+        let now = self.kernel.now();
+        let spent: Vec<Spent> = {
+            let mut till = self.till.borrow_mut();
+            self.sharing.wanted += std::mem::take(&mut till.wanted);
+            std::mem::take(&mut till.spent)
+        };
+        let started = self.started();
+        for spent in &spent {
+            if spent.whole == LEVEL {
+                self.sharing.open.push((spent.seat, spent.ends));
+                continue;
+            }
+            self.judge.admitted(time(spent.at), Duration::ZERO);
+            self.sharing.admitted += 1;
+            self.sharing.follow.had(spent.seat, spent.at);
+            if spent.at >= started {
+                self.sharing.had += 1.0;
+                self.sharing.by_seat[spent.seat].0 += 1.0;
+            }
+        }
+        if self.divide != Divide::Lease {
+            return;
+        }
+        // All that runs is added up after every step; in a large fleet every two milliseconds.
+        if self.seats.len() > 16 && now < self.sharing.looked + 2 * MS {
+            return;
+        }
+        self.sharing.looked = now;
+        self.sharing.open.retain(|(_, ends)| *ends > now);
+        let mut out = vec![0u64; self.seats.len()];
+        for (seat, _) in &self.sharing.open {
+            out[*seat] += 1000;
+        }
+        let (mut parts, mut places) = (0, 0);
+        for (seat, out) in self.seats.iter().zip(&out) {
+            let purses = seat.process.as_ref().and_then(|(_, fleet)| fleet.purses());
+            let Some(purses) = purses else {
+                places += out;
+                continue;
+            };
+            let (part, place) = purses.ask(|budget, own| (budget.part(RATE, own), budget.part(LEVEL, own)));
+            parts += part;
+            places += place.max(*out);
+        }
+        self.sharing.most = self.sharing.most.max(parts as f64 / 1000.0 / rate);
+        self.judge.parts(time(now), "parts of the rate", parts as f64 / 1000.0, rate);
+        self.judge.parts(time(now), "parts of the level", places as f64 / 1000.0, f64::from(level));
+        self.judge.out(time(now), self.sharing.open.len() as u64, u64::from(level));
+    }
+
+    fn shared(&self, lived_s: f64) -> Option<ShareReport> {
+        self.plan.budget.as_ref()?;
+        let sharing = &self.sharing;
+        let met: Vec<f64> =
+            sharing.by_seat.iter().filter(|(_, need)| *need > 1.0).map(|(had, need)| had / need).collect();
+        let (sum, squares) = (met.iter().sum::<f64>(), met.iter().map(|m| m * m).sum::<f64>());
+        Some(ShareReport {
+            wanted: sharing.wanted,
+            admitted: sharing.admitted,
+            used: sharing.had / sharing.possible.max(f64::MIN_POSITIVE),
+            moved_s: sharing.follow.moved_s.clone(),
+            most: sharing.most,
+            bytes_s: sharing.sent.1 as f64 / lived_s,
+            messages_s: sharing.sent.0 as f64 / lived_s,
+            elections: sharing.elections,
+            jain: sum * sum / (met.len() as f64 * squares).max(f64::MIN_POSITIVE),
+        })
+    }
+
     fn report(&self) -> FleetReport {
         let seconds = |from: Nanos, to: Nanos| (to.saturating_sub(from)) as f64 / 1e9;
         // Who was started again was not to be known as dead.
@@ -439,6 +614,7 @@
             datagrams_s: sum(|seat| seat.sent.0) / lived_s,
             bytes_s: (sum(|seat| seat.sent.1) + self.exchanged as f64) / lived_s,
             exchange_bytes_s: self.exchanged as f64 / lived_s,
+            share: self.shared(lived_s),
             broken: self.judge.broken.clone(),
         }
     }
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -21,4 +21,5 @@
 pub mod platform;
 pub mod sabotage;
 pub mod scenario;
+pub mod share;
 pub mod wire;
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -12,5 +12,5 @@
 mod relay;
 mod standin;
 
-pub use fleet::{Options, RigReport, Watch, run};
+pub use fleet::{Options, RigReport, RigShare, Watch, run};
 pub use load::Outcomes;
--- a/crates/rig/src/load.rs
+++ b/crates/rig/src/load.rs
@@ -47,13 +47,14 @@
 
 static NUMBER: AtomicU64 = AtomicU64::new(1);
 
-/// One request: `GET /plan/N`, whose client waits for 2 s.
-pub async fn request(to: SocketAddr) -> Ended {
+/// One request: `GET /plan/N`, whose client waits for 2 s, of a tenant if one is named.
+pub async fn request(to: SocketAddr, tenant: Option<&str>) -> Ended {
     let number = NUMBER.fetch_add(1, Ordering::Relaxed);
     let connected = tokio::time::timeout(Duration::from_secs(1), TcpStream::connect(to)).await;
     let Ok(Ok(mut stream)) = connected else { return Ended::Unmet };
+    let caller = tenant.map(|tenant| format!("X-Caller: {tenant}\r\n")).unwrap_or_default();
     let asked = format!(
-        "GET /plan/{number} HTTP/1.1\r\nHost: h\r\nX-Call-Id: {number:016x}\r\nX-Budget: 2000m\r\nConnection: close\r\n\r\n"
+        "GET /plan/{number} HTTP/1.1\r\nHost: h\r\nX-Call-Id: {number:016x}\r\nX-Budget: 2000m\r\n{caller}Connection: close\r\n\r\n"
     );
     let answered = async {
         stream.write_all(asked.as_bytes()).await.ok()?;
--- a/crates/rig/src/standin.rs
+++ b/crates/rig/src/standin.rs
@@ -3,9 +3,9 @@
 
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Duration;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -73,23 +73,47 @@
     pub discovery: SocketAddr,
     /// Requests that the backend servers received.
     pub received: Arc<AtomicU64>,
+    /// When each of them came, since they were taken from here.
+    pub arrivals: Arc<Mutex<Vec<Instant>>>,
+    /// Requests in work now, and the most that ever were at once.
+    pub open: Arc<Open>,
+}
+
+/// Requests in work.
+#[derive(Debug, Default)]
+pub struct Open {
+    now: AtomicU64,
+    /// The most at once.
+    pub most: AtomicU64,
+}
+
+impl Open {
+    fn begin(&self) {
+        let now = self.now.fetch_add(1, Ordering::SeqCst) + 1;
+        self.most.fetch_max(now, Ordering::SeqCst);
+    }
 }
 
 impl Backends {
     /// So many backend servers, each of which takes this long for a request.
     pub async fn start(ip: Ipv4Addr, count: usize, zones: &[String], work: Duration) -> io::Result<Backends> {
         let received = Arc::new(AtomicU64::new(0));
+        let (arrivals, open) = (Arc::<Mutex<Vec<Instant>>>::default(), Arc::<Open>::default());
         let mut rows = Vec::new();
         for i in 0..count {
-            let counted = received.clone();
+            let counted = (received.clone(), arrivals.clone(), open.clone());
             let at = serve(ip, move |asked| {
-                let counted = counted.clone();
+                let (counted, arrivals, open) = counted.clone();
                 async move {
                     if asked.starts_with("GET /metrics/load") || asked.starts_with("GET /alive") {
                         return r#"{"inflight":1,"queue":0}"#.to_owned();
                     }
                     counted.fetch_add(1, Ordering::Relaxed);
+                    arrivals.lock().unwrap_or_else(PoisonError::into_inner).push(Instant::now());
+                    open.begin();
                     tokio::time::sleep(work).await;
+                    // It is over before anybody can know.
+                    open.now.fetch_sub(1, Ordering::SeqCst);
                     "ok".to_owned()
                 }
             })
@@ -117,6 +141,6 @@
             }
         })
         .await?;
-        Ok(Backends { discovery, received })
+        Ok(Backends { discovery, received, arrivals, open })
     }
 }
--- a/crates/script/src/file.rs
+++ b/crates/script/src/file.rs
@@ -29,6 +29,52 @@
     pub old: Span,
     /// The seed that it is played under if none is given.
     pub seed: Option<u64>,
+    /// A budget that the members share.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub budget: Option<BudgetSection>,
+}
+
+/// A rate and a level that the members share, and their need of it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct BudgetSection {
+    /// So many of the first members are keepers.
+    pub keepers: Span,
+    /// For how long a part is lent.
+    pub lease: Time,
+    /// The whole of the rate, a second ...
+    pub rate: Span,
+    /// ... and its burst.
+    pub burst: Span,
+    /// The whole of the level.
+    pub level: Span,
+    /// The longest use of it.
+    pub longest: Time,
+    /// The floor of each of the first members, of the rate.
+    pub floor: Span,
+    /// What each member needs, a second.
+    pub demand: Span,
+    /// One has so many times that need, ...
+    pub hot: Span,
+    /// ... and after each of these another one.
+    pub moves: Time,
+}
+
+impl Default for BudgetSection {
+    fn default() -> BudgetSection {
+        BudgetSection {
+            keepers: Span(3.0, 3.0),
+            lease: Time(2.0, 2.0),
+            rate: Span(100.0, 100.0),
+            burst: Span(50.0, 50.0),
+            level: Span(20.0, 20.0),
+            longest: Time(0.4, 0.4),
+            floor: Span(0.0, 0.0),
+            demand: Span(20.0, 20.0),
+            hot: Span(4.0, 4.0),
+            moves: Time(5.0, 5.0),
+        }
+    }
 }
 
 impl Default for FleetSection {
@@ -44,6 +90,7 @@
             load: Span(10.0, 10.0),
             old: Span(0.0, 0.0),
             seed: None,
+            budget: None,
         }
     }
 }
@@ -180,6 +227,20 @@
     "garbage",
     "half-gone",
     "doubled",
+    "budget-hot-place",
+    "budget-holders-paused",
+    "budget-divider-paused",
+    "budget-keepers-in-turn",
+    "budget-keepers-at-once",
+    "budget-keepers-cut-off",
+    "budget-one-way",
+    "budget-split",
+    "budget-late-words",
+    "budget-lossy",
+    "budget-restarts",
+    "budget-gone-and-back",
+    "budget-twin",
+    "budget-evening",
 ];
 
 impl Script {
@@ -223,6 +284,14 @@
         if fleet.longest_pause.0 < 0.1 {
             return Err((None, "longest_pause", "must be at least 100ms"));
         }
+        if let Some(budget) = &fleet.budget {
+            if budget.lease.0 < 0.2 {
+                return Err((None, "lease", "must be at least 200ms"));
+            }
+            if budget.rate.0 <= 0.0 || budget.burst.0 < 1.0 || budget.level.0 < 1.0 {
+                return Err((None, "rate", "rate, burst and level must be over 0"));
+            }
+        }
         for (i, fault) in self.faults.iter().enumerate() {
             use Kind::*;
             let kind = fault.kind;
--- a/crates/script/src/judge.rs
+++ b/crates/script/src/judge.rs
@@ -24,6 +24,12 @@
     TwinSpeaks,
     /// A request was never answered by a process that lived and ran all the time.
     Unanswered,
+    /// The parts of a budget that are in force sum to more than the whole.
+    OverWhole,
+    /// More of a rate was admitted in a window than the whole and its burst, or more of a level was out at once.
+    OverAdmitted,
+    /// Long after the last fault no divider answers a member.
+    Undivided,
 }
 
 /// A broken rule.
@@ -58,6 +64,9 @@
         Rule::CountFell => "count-fell",
         Rule::TwinSpeaks => "twin-speaks",
         Rule::Unanswered => "unanswered",
+        Rule::OverWhole => "over-whole",
+        Rule::OverAdmitted => "over-admitted",
+        Rule::Undivided => "undivided",
     }
 }
 
@@ -76,6 +85,8 @@
     pub known: usize,
     /// A younger start has its name.
     pub superseded: bool,
+    /// Whether a divider answers it, if a budget is shared.
+    pub answered: Option<bool>,
 }
 
 #[derive(Debug, Clone, Default)]
@@ -103,6 +114,8 @@
     line: usize,
     /// How much more time everything may take than by the protocol: 1 on the virtual clock.
     slack: f64,
+    /// What was admitted of the rate and has not drained yet, and since when.
+    admitted: (f64, Duration),
     /// What was broken, each rule once an observer.
     pub broken: Vec<Broken>,
 }
@@ -118,6 +131,7 @@
             seen,
             line: 0,
             slack,
+            admitted: (0.0, Duration::ZERO),
             broken: Vec::new(),
         }
     }
@@ -151,6 +165,44 @@
         }
     }
 
+    /// Parts of a whole that are in force at one instant, over all processes that run.
+    pub fn parts(&mut self, at: Duration, what: &str, sum: f64, whole: f64) {
+        if sum > whole + 1e-6 {
+            self.breaks(Rule::OverWhole, at, 0, format!("{what}: {sum:.3} of {whole:.3}"));
+        }
+    }
+
+    /// One use of the rate was admitted. What is admitted in any window of w seconds is no more than whole times w and
+    /// the burst just if a bucket that loses the whole a second never holds more than the burst. `late`: so much longer
+    /// than it took to admit them uses may have taken to be seen.
+    pub fn admitted(&mut self, at: Duration, late: Duration) {
+        let Some(budget) = &self.plan.budget else { return };
+        let (rate, burst) = (budget.rate, budget.burst);
+        let (held, since) = self.admitted;
+        let drained = at.saturating_sub(since).as_secs_f64() * rate;
+        let held = (held - drained).max(0.0) + 1.0;
+        self.admitted = (held, at.max(since));
+        let most = burst + rate * late.as_secs_f64();
+        if held > most + 1e-6 {
+            let what = format!("{held:.1} beyond {rate} a second, where {most:.1} are the burst");
+            self.breaks(Rule::OverAdmitted, at, 0, what);
+        }
+    }
+
+    /// So many of the level are out at once.
+    pub fn out(&mut self, at: Duration, out: u64, most: u64) {
+        if out > most {
+            self.breaks(Rule::OverAdmitted, at, 0, format!("{out} out at once of {most}"));
+        }
+    }
+
+    /// Whether a divider answers a member, long after the last fault.
+    pub fn divided(&mut self, at: Duration, member: usize, answered: bool) {
+        if !answered {
+            self.breaks(Rule::Undivided, at, member, "no divider answers it".to_owned());
+        }
+    }
+
     /// A member's generation has become known.
     pub fn known(&mut self, member: usize, generation: u64) {
         self.lives[member].generation = Some(generation);
@@ -214,6 +266,9 @@
         if let Err(what) = self.true_view(look) {
             self.breaks(Rule::ViewsDiffer, at, observer, what);
         }
+        if let Some(answered) = look.answered {
+            self.divided(at, observer, answered);
+        }
     }
 
     /// Whether a view holds exactly those who are there; else what is wrong with it.
--- a/crates/script/src/lib.rs
+++ b/crates/script/src/lib.rs
@@ -7,6 +7,6 @@
 mod judge;
 mod plan;
 
-pub use file::{Fault, FleetSection, Kind, SHIPPED, Script};
+pub use file::{BudgetSection, Fault, FleetSection, Kind, SHIPPED, Script};
 pub use judge::{Broken, Judge, Look, Rule};
-pub use plan::{Act, Doing, MemberPlan, Plan, Wire};
+pub use plan::{Act, BudgetPlan, Doing, MemberPlan, Plan, Wire};
--- a/crates/script/src/plan.rs
+++ b/crates/script/src/plan.rs
@@ -87,6 +87,41 @@
     pub members: Vec<usize>,
 }
 
+/// What the members share.
+#[derive(Debug, Clone, PartialEq)]
+pub struct BudgetPlan {
+    /// So many of the first places are keepers.
+    pub keepers: usize,
+    /// For how long a part is lent.
+    pub lease: Duration,
+    /// The whole of the rate, a second.
+    pub rate: f64,
+    /// Its burst.
+    pub burst: f64,
+    /// The whole of the level.
+    pub level: u32,
+    /// The longest use of it.
+    pub longest: Duration,
+    /// The floor of each of the first members, of the rate.
+    pub floor: f64,
+    /// What each member needs, a second.
+    pub demand: f64,
+    /// One has so many times that need, ...
+    pub hot: f64,
+    /// ... and after each of these another one.
+    pub moves: Duration,
+}
+
+impl BudgetPlan {
+    /// What a member needs at a time, a second, among so many.
+    pub fn need(&self, member: usize, members: usize, at: Duration) -> f64 {
+        let turn = (at.as_secs_f64() / self.moves.as_secs_f64().max(0.1)) as usize;
+        // Every third from one to the next, so that the hot place is not the divider's neighbour each time.
+        let hot = (turn * 3 + 1) % members.max(1);
+        if member == hot { self.demand * self.hot } else { self.demand }
+    }
+}
+
 /// One draw.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Plan {
@@ -116,6 +151,8 @@
     pub load: f64,
     /// So many of the first speak only the message format before.
     pub old: usize,
+    /// What the members share, if anything.
+    pub budget: Option<BudgetPlan>,
 }
 
 struct Draw<'a> {
@@ -146,6 +183,20 @@
         let seeds = (span(&mut rng, fleet.seeds).round() as usize).clamp(1, first);
         let zones = fleet.zones.len();
         let member = |i: usize| MemberPlan { name: format!("m{}", i + 1), zone: i % zones, place: i };
+        let budget = fleet.budget.as_ref().map(|budget| BudgetPlan {
+            // An odd number, or there may be no greater half.
+            keepers: (span(&mut rng, budget.keepers).round() as usize).clamp(1, first.min(7)).div_ceil(2) * 2
+                - 1,
+            lease: time(&mut rng, budget.lease),
+            rate: span(&mut rng, budget.rate),
+            burst: span(&mut rng, budget.burst),
+            level: span(&mut rng, budget.level).round() as u32,
+            longest: time(&mut rng, budget.longest),
+            floor: span(&mut rng, budget.floor),
+            demand: span(&mut rng, budget.demand),
+            hot: span(&mut rng, budget.hot),
+            moves: time(&mut rng, budget.moves),
+        });
         let plan = Plan {
             name: fleet.name.clone(),
             seed,
@@ -160,6 +211,7 @@
             quiet_from: Duration::ZERO,
             load: span(&mut rng, fleet.load),
             old: (span(&mut rng, fleet.old) * first as f64).round() as usize,
+            budget,
         };
         let mut draw = Draw { script, rng, plan, spent: Vec::new(), pauses: Vec::new() };
         for i in 0..first {
@@ -236,7 +288,7 @@
         picked
     }
 
-    /// Whom a word of a fault of wires means; `other` is whom the other word means.
+    /// Whom a word of a fault of wires means (a name, `zone:NAME`, `all`, `rest`, `one`, `seeds`, `keepers`); `other` is whom the other word means.
     fn group(&mut self, word: &str, other: &[usize]) -> Vec<usize> {
         match word {
             "all" => self.all(),
@@ -246,6 +298,7 @@
                 if free.is_empty() { Vec::new() } else { vec![free[self.rng.usize(..free.len())]] }
             }
             "seeds" => (0..self.plan.seeds).collect(),
+            "keepers" => (0..self.plan.budget.as_ref().map_or(0, |budget| budget.keepers)).collect(),
             word => match word.strip_prefix("zone:") {
                 Some(zone) => {
                     let zone = self.plan.zones.iter().position(|z| z == zone);
