Budgets: candidates yield to one another, late votes count, floors of a level; stale parts not shown

Traced in the model's told path: two candidates that both kept their own vote could not be elected in five rounds. Now who is not elected yields to a greater term or a lower place and frees its vote; answers to the last four rounds of votes count, each from its own question; scripts give the level a floor too.

--- a/crates/budget/src/budget.rs
+++ b/crates/budget/src/budget.rs
@@ -286,7 +286,7 @@
         let divides = self.core.divides(now);
         if divides != self.divided {
             self.counted.elections += u64::from(divides);
-            let term = self.core.ballot().term;
+            let term = self.core.own_term();
             self.events.push_back(if divides { Event::Elected { term } } else { Event::SteppedDown });
         }
         (self.had, self.divided) = (has, divides);
--- a/crates/budget/src/core.rs
+++ b/crates/budget/src/core.rs
@@ -56,6 +56,11 @@
         self.holder.promised()
     }
 
+    /// Its own term, if it divides or did.
+    pub fn own_term(&self) -> u64 {
+        self.seat.as_ref().map_or(0, |seat| seat.divider.ballot().term)
+    }
+
     /// Whether it divides.
     pub fn divides(&self, now: Time) -> bool {
         self.seat.as_ref().is_some_and(|seat| seat.divider.divides(now))
@@ -140,7 +145,9 @@
         match message {
             Message::Vote { ballot, nonce } => {
                 let (Some(seat), Some(place)) = (&mut self.seat, config.keeper()) else { return };
-                let given = config.keepers.contains(&from) && seat.keeper.vote(config, now, from, *ballot);
+                let Some(stands) = config.keepers.iter().position(|keeper| *keeper == from) else { return };
+                seat.divider.yields(config, now, &mut seat.keeper, (*ballot, stands));
+                let given = seat.keeper.vote(config, now, from, *ballot);
                 let (keeper, term) = (place as u8, seat.keeper.term());
                 out.push((from, Message::Voted { keeper, term, nonce: *nonce, given }));
             }
--- a/crates/budget/src/divider.rs
+++ b/crates/budget/src/divider.rs
@@ -4,7 +4,7 @@
 use crate::divide::{Claim, divide};
 use crate::keeper::Keeper;
 use crate::message::{Ballot, Message};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 /// A question of a holder.
 pub(crate) struct Question<'a> {
@@ -33,10 +33,14 @@
 /// A round of questions to the keepers.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 struct Round {
+    nonce: u64,
     asked: Time,
     votes: u8,
 }
 
+/// Rounds of which answers still count: a term is three of them long.
+const ROUNDS: usize = 4;
+
 /// A candidate, elected or not.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Divider {
@@ -45,7 +49,8 @@
     /// The greatest term it has heard of.
     seen: u64,
     nonce: u64,
-    round: Option<Round>,
+    /// Its last questions to the keepers, the oldest first.
+    rounds: VecDeque<Round>,
     /// Elected, and until when.
     until: Option<Time>,
     elected: Time,
@@ -68,7 +73,7 @@
             term: 0,
             seen: 0,
             nonce: 0,
-            round: None,
+            rounds: VecDeque::new(),
             until: None,
             elected: now,
             stand_at: now,
@@ -118,14 +123,19 @@
     }
 
     fn step_down(&mut self, config: &Config, now: Time) {
-        (self.until, self.round) = (None, None);
+        self.until = None;
+        self.rounds.clear();
         self.records.clear();
         self.stand_at = now + self.wait(config);
     }
 
+    /// When the last round is over.
+    fn round_ends(&self, config: &Config) -> Option<Time> {
+        self.rounds.back().map(|round| round.asked + config.term() / 3)
+    }
+
     pub(crate) fn next_at(&self, config: &Config) -> Time {
-        let round = self.round.as_ref().map(|round| round.asked + config.term() / 3);
-        match (self.until, round) {
+        match (self.until, self.round_ends(config)) {
             (Some(until), Some(round)) => until.min(round),
             (Some(until), None) => until,
             (None, Some(round)) => round,
@@ -138,12 +148,13 @@
         if self.until.is_some() && !self.divides(now) {
             self.step_down(config, now);
         }
-        match &self.round {
-            Some(round) if now < round.asked + config.term() / 3 => return None,
-            Some(_) if self.until.is_none() => {
+        match self.round_ends(config) {
+            Some(ends) if now < ends => return None,
+            // Answers to the first questions may be on their way.
+            Some(_) if self.until.is_none() && self.rounds.len() >= 2 => {
                 // Not elected: nobody counts on the vote that it gave itself, so another may have it.
                 keeper.release(self.id);
-                self.round = None;
+                self.rounds.clear();
                 self.stand_at = now + self.wait(config);
                 return None;
             }
@@ -158,13 +169,29 @@
             }
         }
         self.nonce += 1;
-        self.round = Some(Round { asked: now, votes: 0 });
+        if self.rounds.len() >= ROUNDS {
+            self.rounds.pop_front();
+        }
+        self.rounds.push_back(Round { nonce: self.nonce, asked: now, votes: 0 });
         let own = keeper.vote(config, now, config.address, self.ballot());
         let place = config.keeper().unwrap_or_default() as u8;
         self.voted(config, now, (place, keeper.term(), self.nonce), own);
         Some(Message::Vote { ballot: self.ballot(), nonce: self.nonce })
     }
 
+    /// Another stands too. Of two that are not elected the one with the greater term goes first, or with the lower place:
+    /// each that keeps its own vote keeps the other from being elected.
+    pub(crate) fn yields(&mut self, config: &Config, now: Time, keeper: &mut Keeper, to: (Ballot, usize)) {
+        let (ballot, place) = to;
+        let own = config.keeper().unwrap_or_default();
+        let first = ballot.term > self.term || ballot.term == self.term && place < own;
+        if self.until.is_none() && !self.rounds.is_empty() && first {
+            keeper.release(self.id);
+            self.rounds.clear();
+            self.stand_at = now + config.over(config.term()) + self.wait(config);
+        }
+    }
+
     /// A keeper's answer. Whether it has made this one the divider.
     pub(crate) fn voted(
         &mut self,
@@ -174,18 +201,18 @@
         given: bool,
     ) -> bool {
         self.seen = self.seen.max(term);
-        let Some(round) = &mut self.round else { return false };
-        if nonce != self.nonce || !given || usize::from(keeper) >= config.keepers.len() {
+        let Some(round) = self.rounds.iter_mut().find(|round| round.nonce == nonce) else { return false };
+        if !given || usize::from(keeper) >= config.keepers.len() {
             return false;
         }
         round.votes |= 1 << keeper;
-        // The term counts from when the votes were asked for: each keeper began to count later.
+        // The term counts from when these votes were asked for: each keeper began to count later.
         let until = round.asked + config.term();
         if round.votes.count_ones() < config.majority() || now >= until {
             return false;
         }
         let first = self.until.is_none();
-        self.until = Some(until);
+        self.until = Some(self.until.map_or(until, |had| had.max(until)));
         if first {
             self.elected = now;
             self.records.clear();
--- a/crates/emulator/src/share.rs
+++ b/crates/emulator/src/share.rs
@@ -93,7 +93,12 @@
     let level = Kind::Level { longest: budget.longest };
     config.wholes = vec![
         Whole { name: "rate".into(), kind: rate, size, floor },
-        Whole { name: "level".into(), kind: level, size: u64::from(budget.level) * 1000, floor: 0 },
+        Whole {
+            name: "level".into(),
+            kind: level,
+            size: u64::from(budget.level) * 1000,
+            floor: 1000 * u64::from(budget.floor > 0.0),
+        },
     ];
     if budget.floor > 0.0 {
         config.roster = places[..plan.first.min(places.len())].to_vec();
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -336,7 +336,7 @@
         self.judge.out(now, share.open.0, share.open.1 + BEYOND);
         let since = share.line.last().map_or(0.0, |last| last.0);
         let took = (now.as_secs_f64() - since).max(0.01);
-        let parts = self.seats.iter().map(|seat| seat.part).sum();
+        let parts = self.seats.iter().filter(|seat| seat.runs()).map(|seat| seat.part).sum();
         share.line.push((now.as_secs_f64(), parts, arrivals.len() as f64 / took));
         share.whole = budget.rate;
         share.used = self.late as f64 / (budget.rate * (now.saturating_sub(started)).as_secs_f64().max(0.1));
@@ -449,13 +449,15 @@
         format!(
             "[budget]\nkeepers = [{}]\nroster = [{}]\nlease = \"{lease}ms\"\n\
              [[budget.whole]]\nuse = \"tenant\"\ntenant = \"{TENANT}\"\nrate = {}\nburst = {}\nfloor = {}\n\
-             [[budget.whole]]\nuse = \"open\"\nlevel = {}\nlongest = \"{longest}ms\"\n",
+             [[budget.whole]]\nuse = \"open\"\nlevel = {}\nlongest = \"{longest}ms\"\nfloor = {}\n",
             list(budget.keepers),
             list(roster),
             budget.rate,
             budget.burst,
             budget.floor,
             budget.level,
+            // A request needs both.
+            u8::from(budget.floor > 0.0),
         )
     }
 
