--- a/crates/budget/src/budget.rs
+++ b/crates/budget/src/budget.rs
@@ -163,18 +163,18 @@
         self.purses[whole].out
     }
 
-    fn lease(&self, whole: usize) -> Part {
+    fn lease(&self, whole: usize, now: Time) -> Part {
         let until = self.core.lent_until().unwrap_or_default();
         // What is lent, whether or not it has lapsed by now: just before its end it was that.
         let lent = self.core.lent(whole, until.saturating_sub(Time::from_nanos(1)));
-        Part { floor: self.config.floor(whole), lent, until }
+        Part { floor: self.core.floor(&self.config, whole, now), lent, until }
     }
 
     /// Lets tokens come under the parts as they are, before parts change.
     fn pass(&mut self, now: Time) {
         for whole in 0..self.purses.len() {
             if let Kind::Rate { burst } = self.config.wholes[whole].kind {
-                let (lease, size) = (self.lease(whole), self.config.wholes[whole].size);
+                let (lease, size) = (self.lease(whole, now), self.config.wholes[whole].size);
                 self.purses[whole].tokens.pass(now, lease, burst, size);
             }
         }
@@ -183,7 +183,7 @@
     /// One use of a whole; else how long until there may be one. Danger: `now` has to be read after whatever the use
     /// waited for, and right before it.
     pub fn take(&mut self, whole: usize, now: Time) -> Result<(), Time> {
-        let (every, lease) = (self.config.every(), self.lease(whole));
+        let (every, lease) = (self.config.every(), self.lease(whole, now));
         let part = self.core.part(&self.config, whole, now);
         let size = self.config.wholes[whole].size;
         let purse = &mut self.purses[whole];
@@ -322,7 +322,7 @@
                 name: told.name.clone(),
                 whole: f(told.size),
                 part: f(self.core.part(&self.config, whole, now)),
-                floor: f(self.config.floor(whole)),
+                floor: f(self.core.floor(&self.config, whole, now)),
                 need: f(purse.meter.clone().need(now, told.kind, purse.out)),
                 out: purse.out,
                 taken: purse.taken,
--- a/crates/budget/src/core.rs
+++ b/crates/budget/src/core.rs
@@ -33,7 +33,12 @@
 
     /// Its part of a whole now, in thousandths: its floor and what is lent to it.
     pub fn part(&self, config: &Config, whole: usize, now: Time) -> u64 {
-        config.floor(whole) + self.holder.lent(whole, now)
+        self.floor(config, whole, now) + self.holder.lent(whole, now)
+    }
+
+    /// What it has of a whole without any lease.
+    pub fn floor(&self, config: &Config, whole: usize, now: Time) -> u64 {
+        self.holder.floor(config, now, whole)
     }
 
     /// What is lent to it of a whole now.
--- a/crates/budget/src/holder.rs
+++ b/crates/budget/src/holder.rs
@@ -11,6 +11,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Holder {
     id: u64,
+    started: Time,
     seq: u64,
     /// When it asked last.
     asked: Time,
@@ -36,6 +37,7 @@
         let none = vec![0; config.wholes.len()];
         Holder {
             id,
+            started: now,
             seq: 0,
             asked: now,
             next: now,
@@ -57,6 +59,13 @@
         if now < self.until { self.parts[whole] } else { 0 }
     }
 
+    /// What it has without a lease. Danger: what the process before it at this address had out may not have ended yet, so
+    /// of a level it has its floor only once the longest use is over.
+    pub(crate) fn floor(&self, config: &Config, now: Time, whole: usize) -> u64 {
+        let from = self.started + config.over(config.tail(whole));
+        if now >= from { config.floor(whole) } else { 0 }
+    }
+
     /// Until when, and whether that is of any use.
     pub(crate) fn until(&self) -> Option<Time> {
         self.parts.iter().any(|part| *part > 0).then_some(self.until)
@@ -79,7 +88,7 @@
         self.out[whole] = out;
         self.want[whole] = want;
         // A need that has outgrown its part does not wait for its turn.
-        let part = self.lent(whole, now) + config.floor(whole);
+        let part = self.lent(whole, now) + self.floor(config, now, whole);
         if want > part && want > self.told[whole] + self.told[whole] / 4 {
             self.hurry = HURRY;
         }
@@ -96,7 +105,7 @@
         let have = |whole: usize| {
             let out = match config.wholes[whole].kind {
                 Kind::Rate { .. } => 0,
-                Kind::Level { .. } => self.out[whole].saturating_sub(config.floor(whole)),
+                Kind::Level { .. } => self.out[whole].saturating_sub(self.floor(config, now, whole)),
             };
             self.lent(whole, now).max(out)
         };
@@ -160,7 +169,7 @@
         self.parts.copy_from_slice(parts);
         self.until = until;
         (self.divider, self.answered) = (Some(from), Some(now));
-        let short = (0..parts.len()).any(|i| self.want[i] > parts[i] + config.floor(i));
+        let short = (0..parts.len()).any(|i| self.want[i] > parts[i] + self.floor(config, now, i));
         // Who has to give something up for it says so within a round.
         let hurried = short && self.hurry > 0;
         self.next = self.asked + if hurried { config.every() / 4 } else { config.every() };
