--- a/crates/emulator/src/day.rs
+++ b/crates/emulator/src/day.rs
@@ -149,7 +149,15 @@
         let exact = |f: f64| Span(f, f);
         let lasting = !matches!(
             kind,
-            DiscoveryMove | BadFile | NodeReplace | CutAnswer | ResetAnswer | SidecarRestart | SidecarKill
+            DiscoveryMove
+                | BadFile
+                | NodeReplace
+                | CutAnswer
+                | ResetAnswer
+                | SidecarRestart
+                | SidecarKill
+                | SidecarGone
+                | SidecarLate
         );
         FaultSection {
             kind,
@@ -383,6 +391,13 @@
                 targets.push(String::new());
             } else if let Some(target) = &section.target {
                 targets.push(target.clone());
+            } else if matches!(section.kind, SidecarGone | SidecarLate) {
+                let mut numbers: Vec<usize> = (1..=self.sidecars.len()).collect();
+                let share = section.share.map_or(0.0, |s| span(dice, s));
+                let most = ((numbers.len() as f64 * share).round() as usize).clamp(1, numbers.len());
+                for _ in 0..most {
+                    targets.push(format!("sidecar-{}", numbers.swap_remove(dice.below(numbers.len()))));
+                }
             } else if of_sidecar {
                 targets.push(format!("sidecar-{}", 1 + dice.below(self.sidecars.len())));
             } else {
--- a/crates/emulator/src/emulator/faults.rs
+++ b/crates/emulator/src/emulator/faults.rs
@@ -112,6 +112,11 @@
                 }
             }
             (SidecarKill, _, Some(i)) => self.kill(i, false),
+            (SidecarGone, _, Some(i)) => {
+                self.sidecars[i].gone = true;
+                self.kill(i, false);
+            }
+            (SidecarLate, _, Some(i)) => self.start(i),
             (Descriptors, _, Some(i)) => {
                 if let Some(process) = &self.sidecars[i].process {
                     let most = if begins { self.day.sockets / 8 } else { self.day.sockets };
--- a/crates/emulator/src/emulator/mod.rs
+++ b/crates/emulator/src/emulator/mod.rs
@@ -17,6 +17,7 @@
 use crate::node::Node;
 use crate::platform::{EPOCH, Emulated};
 use crate::sabotage::Defect;
+use crate::scenario::FaultKind;
 use crate::wire::{Message, Reader};
 use bytes::Bytes;
 use cometcroft_sidecar::counters::Counters;
@@ -149,6 +150,10 @@
     life: u32,
     process: Option<Process>,
     of_node: Option<usize>,
+    /// It doesn't come back.
+    gone: bool,
+    /// It is not there from the beginning.
+    late: bool,
 }
 
 /// What a run gave.
@@ -178,6 +183,8 @@
     pub seen: Seen,
     /// Attempts that crossed zones.
     pub crossings: u64,
+    /// Nodes that were pushed over while they were cold.
+    pub fallen: u64,
     /// Broken rules.
     pub broken: Vec<Broken>,
     /// Most things remembered at once: tasks, connections, the judge's entries.
@@ -213,6 +220,9 @@
     bad_dice: Dice,
     bad_texts: FxHashMap<ConnId, Bytes>,
     defect: Option<Defect>,
+    /// The first tier's sidecars know of one another.
+    members: bool,
+    fallen: u64,
     step: u64,
     hash: Xxh3,
     crossings: u64,
@@ -242,8 +252,8 @@
         for (i, &zone) in day.sidecars.iter().enumerate() {
             let host = kernel.with_net(|net| net.host(zone));
             by_host.insert(host, i as u32);
+            let name = format!("sidecar-{}", i + 1);
             sidecars.push(Sidecar {
-                name: format!("sidecar-{}", i + 1),
                 tier: 0,
                 rank: i,
                 zone,
@@ -252,6 +262,9 @@
                 life: 0,
                 process: None,
                 of_node: None,
+                gone: false,
+                late: day.faults.iter().any(|f| f.kind == FaultKind::SidecarLate && f.target == name),
+                name,
             });
         }
         let lines = Vec::new();
@@ -275,6 +288,8 @@
             bad_dice: Dice::new(day.seed, "bad clients"),
             bad_texts: FxHashMap::default(),
             defect,
+            members: false,
+            fallen: 0,
             step: 0,
             hash: Xxh3::new(),
             crossings: 0,
@@ -288,6 +303,12 @@
         emulator
     }
 
+    /// The same day with sidecars of the first tier that know of one another, where the files would leave them alone.
+    pub fn with_members(mut self) -> Emulator {
+        self.members = true;
+        self
+    }
+
     /// Has each step's doings told.
     pub fn trace(&mut self, trace: Trace) {
         self.trace = Some(trace);
@@ -336,7 +357,7 @@
             self.listen(i);
             self.node_turn_due(i);
         }
-        for i in 0..self.sidecars.len() {
+        for i in (0..self.sidecars.len()).filter(|&i| !self.sidecars[i].late) {
             self.kernel.world_at(0, Event::Start(i));
         }
         // Clients come when the sidecars are ready.
@@ -380,6 +401,8 @@
                 life: 0,
                 process: None,
                 of_node,
+                gone: false,
+                late: false,
             });
             n
         });
@@ -548,6 +571,7 @@
             waste: if done > 0.0 { ((done - useful) / done).max(0.0) } else { 0.0 },
             seen: self.judge.seen.clone(),
             crossings: self.crossings,
+            fallen: self.fallen,
             broken: self.judge.broken.clone(),
             most: self.most,
         }
--- a/crates/emulator/src/emulator/nodes.rs
+++ b/crates/emulator/src/emulator/nodes.rs
@@ -48,6 +48,7 @@
                         };
                         let by: Vec<(Pid, f64)> =
                             by.into_iter().filter_map(|(n, work)| Some((pid(n)?, work))).collect();
+                        self.fallen += 1;
                         self.judge.fell(&name, since, &by);
                         self.node_die(i);
                         return;
--- a/crates/emulator/src/emulator/sidecars.rs
+++ b/crates/emulator/src/emulator/sidecars.rs
@@ -4,19 +4,27 @@
 use crate::dice::Dice;
 use crate::kernel::{MS, Nanos, SEC};
 use crate::sabotage::{Defect, Saboteur};
+use cometcroft_membership::{Config as Member, Name};
 use cometcroft_sidecar::Parts;
 use cometcroft_sidecar::config::Config;
 use cometcroft_sidecar::counters::Counters;
+use cometcroft_sidecar::fleet::FleetParts;
 use cometcroft_sidecar::lifecycle::Life;
 use cometcroft_sidecar::retune::Control;
 use serde_json::json;
+use std::net::{IpAddr, Ipv4Addr, SocketAddrV4};
 use std::rc::Rc;
 
+/// Where the first tier's sidecar of this rank meets the others.
+fn meets(rank: usize) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(127, 4, (rank >> 8) as u8, rank as u8), 7946)
+}
+
 impl Emulator {
     pub(super) fn config(&self, i: usize) -> String {
         let s = &self.sidecars[i];
         let tier = s.tier;
-        let instances = self.sidecars.iter().filter(|o| o.tier == tier).count();
+        let instances = self.sidecars.iter().filter(|o| o.tier == tier && !o.late).count();
         let mut settings = self.day.settings(tier, s.rank, s.zone, instances);
         if s.tier == 0 && self.defect == Some(Defect::FloodsCold) {
             settings["contract"]["cold-from"] = json!(1.0);
@@ -36,6 +44,7 @@
 
     pub(super) fn start(&mut self, i: usize) {
         if self.sidecars[i].process.is_some()
+            || self.sidecars[i].gone
             || self.sidecars[i].of_node.is_some_and(|n| !self.sites[n].alive)
         {
             return;
@@ -44,6 +53,7 @@
         let text = self.config(i);
         // What the emulator itself writes reads back; one that doesn't starts nothing, and the day shows it.
         let Ok(config) = Config::parse(&text, |_| None) else { return };
+        let seeds: Vec<SocketAddrV4> = (0..2).map(meets).collect();
         let s = &mut self.sidecars[i];
         let (host, sockets) = (s.host, self.day.sockets);
         let pid = self.kernel.with_net(|net| net.process(sockets));
@@ -61,13 +71,27 @@
         let counters = Rc::new(Counters::default());
         let known = config.known.to_string();
         let (kernel, turn, own) = (self.kernel.clone(), s.life, platform.clone());
+        let fleet = (self.members && s.tier == 0).then(|| {
+            let at = meets(s.rank);
+            let mut told = Member::new("day", Name::new(&s.name).unwrap_or_default(), at);
+            told.zone = Name::new(&self.day.zones[s.zone]).unwrap_or_default();
+            (told.rank, told.seeds) = (s.rank as u16, seeds);
+            FleetParts {
+                config: told,
+                socket: platform.datagrams(at.into()),
+                listener: platform.listen(at.into()),
+                from: IpAddr::V4(*at.ip()),
+                watcher: Box::new(|_| ()),
+                budget: None,
+            }
+        });
         let parts = Parts {
             listener,
             ops: None,
             control: control.clone(),
             life: life.clone(),
             counters: counters.clone(),
-            fleet: None,
+            fleet,
         };
         self.kernel.spawn(pid, async move {
             match defect {
--- a/crates/emulator/src/scenario.rs
+++ b/crates/emulator/src/scenario.rs
@@ -372,6 +372,10 @@
     Retune,
     /// A sidecar is killed outright and starts again.
     SidecarKill,
+    /// Sidecars are killed for good: a `share` of them, or one.
+    SidecarGone,
+    /// Sidecars are not there before this time, and the files don't count them: a `share` of them, or one.
+    SidecarLate,
     /// A sidecar's descriptors run out for a time.
     Descriptors,
 }
@@ -504,6 +508,8 @@
     "bad-clients",
     "cold-starts",
     "mixed",
+    "tier-halved",
+    "tier-doubled",
 ];
 
 /// A scenario that makes no sense, in one line.
@@ -663,6 +669,8 @@
                     | ResetAnswer
                     | SidecarRestart
                     | SidecarKill
+                    | SidecarGone
+                    | SidecarLate
             );
             wants("for", fault.lasting.is_some(), lasting)?;
             let factor = matches!(kind, Slow | FastErrors | Burst | HotCaller | SpoiltAnswers);
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -68,6 +68,18 @@
         #[arg(long)]
         json: bool,
     },
+    /// Play whole days twice, with sidecars of the first tier that know of one another and without; tell what differs.
+    Days {
+        /// Scenarios, as `scenarios` lists them, or files.
+        #[arg(required = true)]
+        scenarios: Vec<String>,
+        /// Seeds, as A..B (both are played).
+        #[arg(long, value_parser = crate::seeds, default_value = "1..10")]
+        seeds: RangeInclusive<u64>,
+        /// Days played side by side.
+        #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u16).range(1..=256))]
+        jobs: u16,
+    },
     /// Start a small fleet with stand-ins and a steady load, and show it until Ctrl-C.
     Up {
         /// Processes.
@@ -186,6 +198,10 @@
             let broken = play(&names, members.map(usize::from), seeds, usize::from(jobs), parts, json)?;
             Ok(if broken == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE })
         }
+        Fleet::Days { scenarios, seeds, jobs } => {
+            let broken = crate::days::run(&scenarios, seeds, usize::from(jobs))?;
+            Ok(if broken == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+        }
         Fleet::Up { processes, program: said } => up(usize::from(processes), program(said)?),
     }
 }
