The rig's other faults: resets, narrow ways, busy loops, few descriptors, a changed file

The relay resets connections and lets only so many bytes a second pass; a process shares one processor with busy loops (each a child under the guard), may hold few descriptors (prlimit), or starts with another longest pause or another whole. The emulator plays the same: slices of the processor taken away, queues on a narrow way (datagrams alone).

A member whose file has another budget is answered by nobody: excused, and its part is none, so the sum holds.

--- a/crates/emulator/src/fleet.rs
+++ b/crates/emulator/src/fleet.rs
@@ -7,7 +7,7 @@
 use crate::platform::Emulated;
 use crate::share::{self, Divide, Follow, LEVEL, RATE, ShareReport, Spent, Till};
 use cometcroft_membership::{Config, Name, Parts, State, Timing};
-use cometcroft_script::{Broken, Doing, Judge, Look, Plan};
+use cometcroft_script::{Broken, BudgetPlan, Doing, Judge, Look, Other, Plan};
 use cometcroft_sidecar::fleet::{Fleet, FleetParts};
 use serde::Serialize;
 use std::cell::RefCell;
@@ -22,8 +22,15 @@
     Look,
     Equal,
     Garbage(usize, u32),
+    /// A member that shares its processor with so many loses it, and gets it back.
+    Slice(usize, u32),
+    Back(usize, u32),
 }
 
+/// Descriptors of a member, and what a busy loop has of the processor at a time.
+const DESCRIPTORS: usize = 64;
+const SLICE: Nanos = 4 * MS;
+
 type World = Kernel<Event>;
 type Sim = Emulated<Event>;
 /// Changes of state as they came: who saw them, whom they concern, which start, from, to.
@@ -37,6 +44,10 @@
     process: Option<(Pid, Rc<Fleet<Sim>>)>,
     life: u32,
     garbage: u32,
+    busy: u32,
+    /// A pause of the script goes on.
+    paused: bool,
+    other: Other,
     started: Nanos,
     lived: Nanos,
     sent: (u64, u64),
@@ -140,6 +151,9 @@
             process: None,
             life: 0,
             garbage: 0,
+            busy: 0,
+            paused: false,
+            other: Other::default(),
             started: 0,
             lived: 0,
             sent: (0, 0),
@@ -250,6 +264,25 @@
                 self.needs(now);
                 self.kernel.world_at(now + 100 * MS, Event::Equal);
             }
+            Event::Slice(i, loops) => {
+                if self.seats[i].busy != loops || loops == 0 {
+                    return;
+                }
+                // A pause of the script's own is not cut short.
+                let pid = self.seats[i].process.as_ref().map(|(pid, _)| *pid);
+                if let Some(pid) = pid.filter(|pid| !self.kernel.stopped(*pid)) {
+                    self.kernel.stop(pid);
+                    self.kernel.world_at(now + SLICE * u64::from(loops), Event::Back(i, self.seats[i].life));
+                }
+                self.kernel.world_at(now + SLICE * u64::from(loops + 1), Event::Slice(i, loops));
+            }
+            Event::Back(i, life) => {
+                if let Some((pid, _)) = self.seats[i].process.as_ref().filter(|_| self.seats[i].life == life)
+                    && !self.seats[i].paused
+                {
+                    self.kernel.go_on(*pid);
+                }
+            }
             Event::Garbage(i, rate) => {
                 if self.seats[i].garbage != rate || rate == 0 {
                     return;
@@ -275,11 +308,13 @@
         match doing {
             Doing::Start(i) => self.start(i),
             Doing::Stop(i) => {
+                self.seats[i].paused = true;
                 if let Some((pid, _)) = &self.seats[i].process {
                     self.kernel.stop(*pid);
                 }
             }
             Doing::GoOn(i) => {
+                self.seats[i].paused = false;
                 if let Some((pid, _)) = &self.seats[i].process {
                     self.kernel.go_on(*pid);
                 }
@@ -306,6 +341,17 @@
                     }
                 }
             }
+            Doing::Busy(i, loops) => {
+                self.seats[i].busy = loops;
+                self.kernel.world_at(now, Event::Slice(i, loops));
+            }
+            Doing::Descriptors(i, most) => {
+                if let Some((pid, _)) = &self.seats[i].process {
+                    let most = if most == 0 { DESCRIPTORS } else { most as usize };
+                    self.kernel.with_net(|net| net.limit(*pid, most));
+                }
+            }
+            Doing::File(i, other) => self.seats[i].other = other,
             Doing::Garbage(i, rate) => {
                 self.seats[i].garbage = rate;
                 self.kernel.world_at(now, Event::Garbage(i, rate));
@@ -324,6 +370,8 @@
             turned: all.turned,
             delay: all.delay.as_nanos() as Nanos,
             jitter: all.jitter.as_nanos() as Nanos,
+            reset: all.reset,
+            pace: all.pace,
         };
         let (from, to) = (self.seats[a].host, self.seats[b].host);
         self.kernel.with_net(|net| net.wire(from, to, wire));
@@ -339,7 +387,7 @@
         let seat = &mut self.seats[i];
         seat.life += 1;
         seat.started = self.kernel.now();
-        let pid = self.kernel.with_net(|net| net.process(64));
+        let pid = self.kernel.with_net(|net| net.process(DESCRIPTORS));
         let mut platform = Sim::new(self.kernel.clone(), pid, seat.host);
         // No two clocks run alike: up to one in a hundred fast or slow.
         let pace = 0.99 + 0.02 * Dice::new(self.plan.seed, &format!("clock {i}")).unit();
@@ -348,7 +396,7 @@
         config.zone = seat.zone.clone();
         config.rank = i as u16;
         config.seeds = seeds;
-        config.timing = Timing::from_pause(self.plan.longest_pause);
+        config.timing = Timing::from_pause(seat.other.longest_pause.unwrap_or(self.plan.longest_pause));
         config.parts = self.parts;
         if i < self.plan.old {
             config.formats = (1, 1);
@@ -358,7 +406,9 @@
         let life = Dice::new(self.plan.seed, &format!("{} {i} life {} holds", seat.name, seat.life)).bits();
         let own = seat.address;
         let budget = self.plan.budget.as_ref().filter(|_| self.divide == Divide::Lease).map(|budget| {
-            let told = share::told(&self.plan, budget, &places, own, self.budget_parts);
+            let rate = seat.other.rate.unwrap_or(budget.rate);
+            let budget = BudgetPlan { rate, ..budget.clone() };
+            let told = share::told(&self.plan, &budget, &places, own, self.budget_parts);
             share::parts(told, life)
         });
         let parts = FleetParts {
--- a/crates/emulator/src/net.rs
+++ b/crates/emulator/src/net.rs
@@ -218,8 +218,15 @@
     pub delay: Nanos,
     /// ... and up to this much more, so that later ones overtake.
     pub jitter: Nanos,
+    /// Connections are reset.
+    pub reset: bool,
+    /// So many bytes of datagrams a second pass; 0 for any number.
+    pub pace: f64,
 }
 
+/// What waits on a narrow way for longer than this is lost.
+const QUEUED: Nanos = 1_000_000_000;
+
 /// A socket for datagrams.
 #[derive(Debug)]
 struct Socket {
@@ -266,6 +273,8 @@
     listeners: FxHashMap<SocketAddr, Listening>,
     sockets: FxHashMap<SocketAddr, Socket>,
     wires: FxHashMap<(HostId, HostId), Wire>,
+    /// When a narrow way is free again.
+    free: FxHashMap<(HostId, HostId), Nanos>,
     /// Datagrams and bytes that were sent, and that arrived at a socket.
     pub datagrams: [u64; 4],
     conns: FxHashMap<ConnId, Conn>,
@@ -289,6 +298,7 @@
             listeners: FxHashMap::default(),
             sockets: FxHashMap::default(),
             wires: FxHashMap::default(),
+            free: FxHashMap::default(),
             datagrams: [0; 4],
             conns: FxHashMap::default(),
             processes: Vec::new(),
@@ -394,11 +404,17 @@
     pub fn wire(&mut self, from: HostId, to: HostId, wire: Wire) {
         if wire == Wire::default() {
             self.wires.remove(&(from, to));
+            self.free.remove(&(from, to));
         } else {
             self.wires.insert((from, to), wire);
         }
     }
 
+    fn is_reset(&self, a: HostId, b: HostId) -> bool {
+        let resets = |pair| self.wires.get(&pair).is_some_and(|wire| wire.reset);
+        !self.wires.is_empty() && (resets((a, b)) || resets((b, a)))
+    }
+
     fn is_cut(&self, from: HostId, to: HostId) -> bool {
         !self.wires.is_empty() && self.wires.get(&(from, to)).is_some_and(|wire| wire.cut)
     }
@@ -444,11 +460,21 @@
                 bytes = spoilt.into();
             }
         }
+        let mut queued = 0;
+        if wire.pace > 0.0 {
+            let free = self.free.entry((host, other)).or_default();
+            queued = free.saturating_sub(self.now);
+            if queued > QUEUED {
+                return;
+            }
+            *free = (*free).max(self.now) + (bytes.len() as f64 / wire.pace * 1e9) as Nanos;
+        }
         for _ in 0..copies {
-            let late = match wire.jitter {
-                0 => wire.delay,
-                jitter => wire.delay + (jitter as f64 * self.hosts[host.0 as usize].dice.unit()) as Nanos,
-            };
+            let late = queued
+                + match wire.jitter {
+                    0 => wire.delay,
+                    jitter => wire.delay + (jitter as f64 * self.hosts[host.0 as usize].dice.unit()) as Nanos,
+                };
             let at = self.now + self.delay(host, other) + late;
             self.push(at, Arrival::Datagram(from, to, bytes.clone()));
         }
@@ -508,6 +534,7 @@
             return;
         }
         let listening = self.listeners.get(&to).map(|l| (l.host, l.owner, l.queue.len() >= l.backlog));
+        let listening = listening.filter(|(host, ..)| !self.is_reset(from, *host));
         let Some((host, owner, full)) = listening else {
             let at = self.now + self.delay(from, from);
             self.push(at, Arrival::Refused(id));
@@ -606,6 +633,13 @@
             conn.mute = true;
             return;
         }
+        let (one, other) = (conn.ends[0].host, conn.ends[1].host);
+        if matches!(arrival, Arrival::Data(..) | Arrival::Fin(..)) && self.is_reset(one, other) {
+            let now = self.now;
+            self.push(now, Arrival::Reset(id, 1 - side, now));
+            return self.arrive(Arrival::Reset(id, side, now));
+        }
+        let Some(conn) = self.conns.get_mut(&id) else { return };
         // On one machine all goes on, whoever else can't hear it.
         let near = conn.ends[0].host == conn.ends[1].host;
         for end in conn.ends.iter().filter(|_| !near) {
--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -1,6 +1,7 @@
 //! Processes of the program: started, stopped, killed by their ids, and none left behind however the rig ends.
 
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::{Pid, Resource, Rlimit, Signal, kill_process, prlimit};
+use rustix::thread::{CpuSet, sched_getaffinity, sched_setaffinity};
 use std::io::{self, Write};
 use std::os::unix::process::CommandExt;
 use std::process::{Child, ChildStdin, Command, ExitStatus, Stdio};
@@ -100,6 +101,34 @@
         self.ended
     }
 
+    fn pid(&self) -> Option<Pid> {
+        Pid::from_raw(self.child.id() as i32)
+    }
+
+    /// It may hold so many descriptors; 0 for as many as are allowed at all.
+    pub fn descriptors(&mut self, most: u32) {
+        if self.ended().is_none() {
+            let had = rustix::process::getrlimit(Resource::Nofile);
+            let current = if most == 0 { had.current } else { Some(u64::from(most)) };
+            // One that has just ended can't be limited, and need not be.
+            let _ = prlimit(self.pid(), Resource::Nofile, Rlimit { current, maximum: had.maximum });
+        }
+    }
+
+    /// Runs on one processor of those it may use from now on, or on all of them again.
+    pub fn share(&mut self, processor: Option<usize>) {
+        let Ok(allowed) = sched_getaffinity(None) else { return };
+        let all: Vec<usize> = (0..CpuSet::MAX_CPU).filter(|&cpu| allowed.is_set(cpu)).collect();
+        let mut set = CpuSet::new();
+        match processor {
+            Some(n) if !all.is_empty() => set.set(all[n % all.len()]),
+            _ => all.iter().for_each(|&cpu| set.set(cpu)),
+        }
+        if self.ended().is_none() {
+            let _ = sched_setaffinity(self.pid(), &set);
+        }
+    }
+
     /// SIGSTOP.
     pub fn stop(&mut self) {
         self.signal(Signal::STOP);
@@ -135,6 +164,28 @@
 mod tests {
     use super::*;
 
+    #[test]
+    fn a_process_can_be_kept_to_few_descriptors_and_one_processor_and_be_let_go() {
+        let guard = Guard::start().expect("a shell");
+        let mut process = Process::start(Command::new("/bin/sleep").arg("60"), &guard).expect("it starts");
+        let pid = process.child.id();
+        let says = |file: &str, name: &str| -> String {
+            let text = std::fs::read_to_string(format!("/proc/{pid}/{file}")).expect("the system tells");
+            let line = text.lines().find(|line| line.starts_with(name)).expect("the line").to_owned();
+            line[name.len()..].trim().to_owned()
+        };
+        let (descriptors, processors) =
+            (says("limits", "Max open files"), says("status", "Cpus_allowed_list:"));
+        process.descriptors(24);
+        process.share(Some(1));
+        assert!(says("limits", "Max open files").starts_with("24 "));
+        assert!(says("status", "Cpus_allowed_list:").parse::<usize>().is_ok(), "one processor");
+        process.descriptors(0);
+        process.share(None);
+        assert_eq!(says("limits", "Max open files"), descriptors);
+        assert_eq!(says("status", "Cpus_allowed_list:"), processors);
+    }
+
     #[test]
     fn what_the_rig_leaves_behind_is_ended_by_its_guard() {
         let guard = Guard::start().expect("a shell");
--- a/crates/script/src/file.rs
+++ b/crates/script/src/file.rs
@@ -129,6 +129,14 @@
     Zone,
     /// So many datagrams a second that make no sense come to a member.
     Garbage,
+    /// Connections are reset, open ones and new ones.
+    Reset,
+    /// Only `count` bytes a second pass; what waits for over a second is lost.
+    Throttle,
+    /// A process shares its processor with `count` busy loops.
+    Busy,
+    /// A process may hold `count` descriptors at most.
+    Descriptors,
 }
 
 /// A fault.
@@ -175,6 +183,12 @@
     /// So long after a kill.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub after: Option<Time>,
+    /// For a restart: the new file's longest pause, ...
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub longest_pause: Option<Time>,
+    /// ... and its whole of the shared rate.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub rate: Option<Span>,
     /// How many: members that join, datagrams a second of garbage.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub count: Option<Span>,
@@ -227,6 +241,12 @@
     "garbage",
     "half-gone",
     "doubled",
+    "resets",
+    "throttled",
+    "busy",
+    "descriptors",
+    "other-file",
+    "budget-two-files",
     "budget-hot-place",
     "budget-holders-paused",
     "budget-divider-paused",
@@ -300,14 +320,23 @@
                 (false, true) => Err((Some(i), field, "this kind of fault needs it")),
                 _ => Ok(()),
             };
-            let wire = matches!(kind, Cut | Loss | Late | Copies | Turned);
-            let lasting = wire || matches!(kind, Pause | Split | Zone | Garbage);
+            let wire = matches!(kind, Cut | Loss | Late | Copies | Turned | Reset | Throttle);
+            let lasting = wire || matches!(kind, Pause | Split | Zone | Garbage | Busy | Descriptors);
             need("for", fault.lasting.is_some(), lasting)?;
             need("from", fault.from.is_some(), wire)?;
             need("to", fault.to.is_some(), wire)?;
             need("sides", !fault.sides.is_empty(), kind == Split)?;
             need("after", fault.after.is_some(), matches!(kind, Restart | Usurp))?;
-            need("count", fault.count.is_some(), matches!(kind, Join | Garbage))?;
+            if !matches!(kind, Busy | Descriptors) {
+                need("count", fault.count.is_some(), matches!(kind, Join | Garbage | Throttle))?;
+            }
+            if kind != Restart {
+                need("longest_pause", fault.longest_pause.is_some(), false)?;
+                need("rate", fault.rate.is_some(), false)?;
+            }
+            if kind == Busy && fault.count.is_some_and(|count| count.1 > 8.0) {
+                return Err((Some(i), "count", "is at most 8 busy loops"));
+            }
             need("delay", fault.delay.is_some(), kind == Late)?;
             if fault.jitter.is_some() && kind != Late {
                 return Err((Some(i), "jitter", "this kind of fault has none"));
--- a/crates/script/src/plan.rs
+++ b/crates/script/src/plan.rs
@@ -19,6 +19,10 @@
     pub delay: Duration,
     /// And up to this much more.
     pub jitter: Duration,
+    /// Connections are reset.
+    pub reset: bool,
+    /// So many bytes a second pass; 0 for any number.
+    pub pace: f64,
 }
 
 impl Wire {
@@ -31,6 +35,11 @@
             turned: self.turned.max(other.turned),
             delay: self.delay + other.delay,
             jitter: self.jitter + other.jitter,
+            reset: self.reset || other.reset,
+            pace: match (self.pace > 0.0, other.pace > 0.0) {
+                (true, true) => self.pace.min(other.pace),
+                _ => self.pace + other.pace,
+            },
         }
     }
 }
@@ -52,6 +61,21 @@
     Wire(usize, Vec<usize>, Vec<usize>, Option<Wire>),
     /// So many datagrams a second of nonsense come to a member from now on.
     Garbage(usize, u32),
+    /// So many busy loops share its processor from now on.
+    Busy(usize, u32),
+    /// It may hold so many descriptors from now on; 0 for as many as before.
+    Descriptors(usize, u32),
+    /// Its next start has another file.
+    File(usize, Other),
+}
+
+/// What is other in a file.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Other {
+    /// The longest pause.
+    pub longest_pause: Option<Duration>,
+    /// The whole of the shared rate.
+    pub rate: Option<f64>,
 }
 
 /// An act at its time.
@@ -155,6 +179,9 @@
     pub budget: Option<BudgetPlan>,
 }
 
+/// Bytes a second from one member to another that are enough for all that members say.
+const BROAD: f64 = 8_000.0;
+
 struct Draw<'a> {
     script: &'a Script,
     rng: fastrand::Rng,
@@ -334,6 +361,13 @@
                 for i in self.targets(fault) {
                     let back = at + fault.after.map_or(Duration::ZERO, |t| time(&mut self.rng, t));
                     self.act(at, Doing::Kill(i), line);
+                    if fault.longest_pause.is_some() || fault.rate.is_some() {
+                        let other = Other {
+                            longest_pause: fault.longest_pause.map(|t| time(&mut self.rng, t)),
+                            rate: fault.rate.map(|rate| span(&mut self.rng, rate)),
+                        };
+                        self.act(back, Doing::File(i, other), line);
+                    }
                     self.act(back, Doing::Start(i), line);
                     self.harm(at, back, vec![i]);
                     last = last.max(back);
@@ -370,7 +404,13 @@
                     self.harm(at, back, vec![i, of]);
                 }
             }
-            Kind::Cut | Kind::Loss | Kind::Late | Kind::Copies | Kind::Turned => {
+            Kind::Cut
+            | Kind::Loss
+            | Kind::Late
+            | Kind::Copies
+            | Kind::Turned
+            | Kind::Reset
+            | Kind::Throttle => {
                 self.wire(number, fault, at, until, line);
             }
             Kind::Split => {
@@ -392,6 +432,18 @@
                     self.all().into_iter().partition(|&i| Some(self.plan.members[i].zone) == zone);
                 self.part(number, &[inside, outside], at, until, line);
             }
+            Kind::Busy | Kind::Descriptors => {
+                let usual = if fault.kind == Kind::Busy { 2 } else { 24 };
+                let count = fault.count.map_or(usual, |c| span(&mut self.rng, c).round() as u32);
+                for i in self.targets(fault) {
+                    let doing = |count| match fault.kind {
+                        Kind::Busy => Doing::Busy(i, count),
+                        _ => Doing::Descriptors(i, count),
+                    };
+                    self.act(at, doing(count), line);
+                    self.act(until, doing(0), line);
+                }
+            }
             Kind::Garbage => {
                 let count = fault.count.map_or(1000, |c| span(&mut self.rng, c).round() as u32);
                 for i in self.targets(fault) {
@@ -463,6 +515,8 @@
             Kind::Loss => wire.loss = share,
             Kind::Copies => wire.copies = share,
             Kind::Turned => wire.turned = share,
+            Kind::Reset => wire.reset = true,
+            Kind::Throttle => wire.pace = fault.count.map_or(0.0, |count| span(&mut self.rng, count)),
             _ => {
                 wire.delay = fault.delay.map_or(Duration::ZERO, |t| time(&mut self.rng, t));
                 wire.jitter = fault.jitter.map_or(Duration::ZERO, |t| time(&mut self.rng, t));
@@ -476,7 +530,8 @@
         // A cut of one pair harms nobody; one of many harms the few that are cut off; lost words up to a tenth, and
         // lateness well under a probe's patience, harm nobody.
         let patience = self.plan.longest_pause / 20;
-        let mild = wire.loss <= 0.1 && wire.turned <= 0.1 && wire.delay + wire.jitter <= patience;
+        let broad = wire.pace == 0.0 || wire.pace >= BROAD;
+        let mild = wire.loss <= 0.1 && wire.turned <= 0.1 && wire.delay + wire.jitter <= patience && broad;
         match wire.cut {
             true if from.len() == 1 && to.len() == 1 => {}
             true => {
