--- /dev/null
+++ b/crates/budget/tests/fuzz.rs
@@ -0,0 +1,150 @@
+//! What arrives from strangers: mutated messages, sealed anew so that they get past the checksum, in a number that
+//! `FUZZ_ROUNDS` says (a fixed one by default, so that the verdict is the same each time). `corpus/` holds messages of every
+//! kind and what was worth keeping; `FUZZ_WRITE=1` writes the first ones anew.
+
+use cometcroft_budget::{Budget, Config, Kind, Time, Whole};
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::path::PathBuf;
+use std::time::Duration;
+use xxhash_rust::xxh3::xxh3_64;
+
+fn corpus() -> PathBuf {
+    PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("tests/corpus")
+}
+
+/// Whatever was done to it, its checksum is right.
+fn seal(bytes: &mut [u8]) {
+    if bytes.len() > 4 {
+        let (covered, tail) = bytes.split_at_mut(bytes.len() - 4);
+        let sum = xxh3_64(covered) as u32;
+        tail.copy_from_slice(&sum.to_le_bytes());
+    }
+}
+
+fn mutate(rng: &mut fastrand::Rng, from: &[Vec<u8>]) -> Vec<u8> {
+    let mut bytes = from[rng.usize(..from.len())].clone();
+    for _ in 0..1 + rng.usize(..4) {
+        let length = bytes.len();
+        let body = 11.min(length)..length;
+        match rng.u8(..6) {
+            _ if body.is_empty() => break,
+            0 => bytes[rng.usize(body)] ^= 1 << rng.u32(..8),
+            1 => bytes[rng.usize(body)] = rng.u8(..),
+            2 => bytes.truncate(rng.usize(body)),
+            3 => bytes.insert(rng.usize(body), rng.u8(..)),
+            4 => bytes[rng.usize(body)] = [0, 0xff, 0x80, 0x7f][rng.usize(..4)],
+            _ => {
+                let other = &from[rng.usize(..from.len())];
+                let at = rng.usize(body);
+                bytes.truncate(at);
+                bytes.extend_from_slice(other.get(at..).unwrap_or_default());
+            }
+        }
+    }
+    if rng.u8(..8) > 0 {
+        seal(&mut bytes);
+    }
+    bytes
+}
+
+fn kept() -> Vec<Vec<u8>> {
+    let entries = std::fs::read_dir(corpus()).expect("the corpus");
+    let mut files: Vec<PathBuf> = entries.map(|entry| entry.expect("an entry").path()).collect();
+    files.sort();
+    files.iter().map(|file| std::fs::read(file).expect("a file")).collect()
+}
+
+fn rounds() -> u64 {
+    std::env::var("FUZZ_ROUNDS").ok().and_then(|text| text.parse().ok()).unwrap_or(100_000)
+}
+
+fn at(n: u8) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(127, 0, 0, n), 7)
+}
+
+fn sidecar(n: u8) -> Budget {
+    let keepers = (1..=3).map(at).collect();
+    let mut config = Config::new("fuzz", at(n), keepers, Duration::from_secs(2));
+    let kind = Kind::Rate { burst: 100_000 };
+    config.wholes = vec![
+        Whole { name: "rate".into(), kind, size: 100_000, floor: 0 },
+        Whole {
+            name: "level".into(),
+            kind: Kind::Level { longest: Duration::from_millis(400) },
+            size: 20_000,
+            floor: 0,
+        },
+    ];
+    config.most = 64;
+    Budget::new(config, Time::ZERO, u64::from(n))
+}
+
+/// Four sidecars that share for so long, and all that they said.
+fn share(seconds: u64) -> (Vec<Budget>, Vec<Vec<u8>>, Time) {
+    let mut sidecars: Vec<Budget> = (1..=4).map(sidecar).collect();
+    let (mut said, mut now) = (Vec::new(), Time::ZERO);
+    while now < Duration::from_secs(seconds) {
+        now += Duration::from_millis(10);
+        for i in 0..4 {
+            let _ = sidecars[i].take(0, now);
+            sidecars[i].tick(now);
+            let from = at(i as u8 + 1);
+            while let Some((to, bytes)) = sidecars[i].output() {
+                said.push(bytes.clone());
+                sidecars[usize::from(to.ip().octets()[3]) - 1].receive(now, from, &bytes);
+            }
+        }
+    }
+    (sidecars, said, now)
+}
+
+#[test]
+fn the_corpus_holds_messages_of_every_kind() {
+    if std::env::var("FUZZ_WRITE").is_ok() {
+        let (_, said, _) = share(10);
+        std::fs::create_dir_all(corpus()).expect("a folder");
+        let mut kinds: Vec<&Vec<u8>> = Vec::new();
+        for bytes in &said {
+            // The body's first byte is its kind.
+            if kinds.iter().filter(|kind| kind[11] == bytes[11]).count() < 4 {
+                kinds.push(bytes);
+            }
+        }
+        for (i, bytes) in kinds.iter().enumerate() {
+            std::fs::write(corpus().join(format!("said-{i:02}")), bytes).expect("written");
+        }
+    }
+    let mut kinds: Vec<u8> = kept().iter().filter_map(|bytes| bytes.get(11).copied()).collect();
+    kinds.sort_unstable();
+    kinds.dedup();
+    assert!(kinds.len() >= 5, "votes, answers, questions, grants, promises: {kinds:?}");
+}
+
+#[test]
+fn no_message_brings_a_sidecar_down_or_has_it_hold_more_than_the_whole() {
+    let from = kept();
+    let mut rng = fastrand::Rng::with_seed(7);
+    let (mut sidecars, _, mut now) = share(10);
+    // A divider, and a holder.
+    let place = sidecars.iter().position(|s| s.core().divides(now)).expect("one divides");
+    let (mut divider, mut holder) = (sidecars.remove(place), sidecars.remove(0));
+    for round in 0..rounds() {
+        let bytes = mutate(&mut rng, &from);
+        now += Duration::from_micros(100);
+        for sidecar in [&mut divider, &mut holder] {
+            sidecar.receive(now, at(1 + (round % 5) as u8), &bytes);
+            if round % 16 == 0 {
+                sidecar.tick(now);
+            }
+            while let Some((_, bytes)) = sidecar.output() {
+                assert!(bytes.len() <= 1200);
+            }
+            assert!(sidecar.report(now).holders <= 64);
+        }
+        // What it divides is never more than the whole, whoever claims what.
+        for whole in 0..2 {
+            let config = divider.config().clone();
+            assert!(divider.core().charged(&config, whole, now) <= config.pool(whole), "round {round}");
+        }
+    }
+}
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -40,6 +40,9 @@
         /// Keep the processes' logs in this folder.
         #[arg(long, value_name = "DIR")]
         logs: Option<PathBuf>,
+        /// Draw a shared budget's time line into this SVG file.
+        #[arg(long, value_name = "FILE")]
+        chart: Option<PathBuf>,
         /// The program; if not given, `cometcroft` beside this one.
         #[arg(long)]
         program: Option<PathBuf>,
@@ -172,7 +175,7 @@
             }
             Ok(ExitCode::SUCCESS)
         }
-        Fleet::Run { script, processes, seed, json, logs, program: said } => {
+        Fleet::Run { script, processes, seed, json, logs, chart, program: said } => {
             let script = Script::find(&script)?;
             let seed = seed.or(script.fleet.seed).unwrap_or(1);
             let plan = Plan::draw(&script, seed, processes.map(usize::from));
@@ -183,6 +186,12 @@
             } else {
                 print!("{}", told(&report));
             }
+            if let Some(file) = chart {
+                let share = report.share.as_ref().ok_or("this script shares no budget: nothing to draw")?;
+                let title =
+                    format!("{}, seed {}, {} processes", report.script, report.seed, report.processes);
+                crate::chart::shared(&file, &title, share)?;
+            }
             let sound = report.broken.is_empty() && report.crashed.is_empty() && report.equal_s.is_some();
             Ok(if sound { ExitCode::SUCCESS } else { ExitCode::FAILURE })
         }
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,6 +1,7 @@
 //! `cometcroft-lab`: the command round the emulator and the rig.
 #![forbid(unsafe_code)]
 
+mod chart;
 mod days;
 mod fleet;
 mod shrink;
--- /dev/null
+++ b/crates/membership/tests/fuzz.rs
@@ -0,0 +1,134 @@
+//! What arrives from strangers: mutated messages, sealed anew so that they get past the checksum, in a number that
+//! `FUZZ_ROUNDS` says (a fixed one by default, so that the verdict is the same each time). `corpus/` holds messages of every
+//! kind and what was worth keeping; `FUZZ_WRITE=1` writes the first ones anew.
+
+use cometcroft_membership::{Config, Membership, Name, Output, State, Time};
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::path::PathBuf;
+use xxhash_rust::xxh3::xxh3_64;
+
+fn corpus() -> PathBuf {
+    PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("tests/corpus")
+}
+
+/// Whatever was done to it, its checksum is right.
+fn seal(bytes: &mut [u8]) {
+    if bytes.len() > 4 {
+        let (covered, tail) = bytes.split_at_mut(bytes.len() - 4);
+        let sum = xxh3_64(covered) as u32;
+        tail.copy_from_slice(&sum.to_le_bytes());
+    }
+}
+
+fn mutate(rng: &mut fastrand::Rng, from: &[Vec<u8>]) -> Vec<u8> {
+    let mut bytes = from[rng.usize(..from.len())].clone();
+    for _ in 0..1 + rng.usize(..4) {
+        let length = bytes.len();
+        let body = 11.min(length)..length;
+        match rng.u8(..6) {
+            _ if body.is_empty() => break,
+            0 => bytes[rng.usize(body)] ^= 1 << rng.u32(..8),
+            1 => bytes[rng.usize(body)] = rng.u8(..),
+            2 => bytes.truncate(rng.usize(body)),
+            3 => bytes.insert(rng.usize(body), rng.u8(..)),
+            4 => bytes[rng.usize(body)] = [0, 0xff, 0x80, 0x7f][rng.usize(..4)],
+            _ => {
+                let other = &from[rng.usize(..from.len())];
+                let at = rng.usize(body);
+                bytes.truncate(at);
+                bytes.extend_from_slice(other.get(at..).unwrap_or_default());
+            }
+        }
+    }
+    if rng.u8(..8) > 0 {
+        seal(&mut bytes);
+    }
+    bytes
+}
+
+fn kept() -> Vec<Vec<u8>> {
+    let entries = std::fs::read_dir(corpus()).expect("the corpus");
+    let mut files: Vec<PathBuf> = entries.map(|entry| entry.expect("an entry").path()).collect();
+    files.sort();
+    files.iter().map(|file| std::fs::read(file).expect("a file")).collect()
+}
+
+fn rounds() -> u64 {
+    std::env::var("FUZZ_ROUNDS").ok().and_then(|text| text.parse().ok()).unwrap_or(60_000)
+}
+
+fn at(n: u8) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(127, 0, 0, n), 7)
+}
+
+fn member(n: u8, seed: u64) -> Membership {
+    let name = Name::new(&format!("m{n}")).expect("a name");
+    let mut config = Config::new("fuzz", name, at(n));
+    config.seeds = vec![at(1), at(2)];
+    config.most = 64;
+    Membership::new(config, Time::ZERO, 1_000_000 + u64::from(n), seed)
+}
+
+/// Three members that talk for so long, and all that they said.
+fn talk(seconds: u64) -> (Vec<Membership>, Vec<Vec<u8>>, Time) {
+    let mut members: Vec<Membership> = (1..=3).map(|n| member(n, u64::from(n))).collect();
+    let (mut said, mut now) = (Vec::new(), Time::ZERO);
+    while now < Time::from_secs(seconds) {
+        now += Time::from_millis(20);
+        for i in 0..3 {
+            members[i].tick(now);
+            while let Some(output) = members[i].output() {
+                let Output::Send(to, bytes) = output else { continue };
+                said.push(bytes.clone());
+                let to = usize::from(to.ip().octets()[3]) - 1;
+                members[to].receive(now, &bytes);
+            }
+        }
+        let view = members[0].view();
+        said.push(view);
+    }
+    (members, said, now)
+}
+
+#[test]
+fn the_corpus_holds_messages_of_every_kind() {
+    if std::env::var("FUZZ_WRITE").is_ok() {
+        let (_, said, _) = talk(10);
+        std::fs::create_dir_all(corpus()).expect("a folder");
+        for (i, bytes) in said.iter().step_by(said.len() / 24).enumerate() {
+            std::fs::write(corpus().join(format!("said-{i:02}")), bytes).expect("written");
+        }
+    }
+    let mut heard = member(9, 1);
+    for bytes in kept() {
+        heard.receive(Time::from_secs(1), &bytes);
+        let _ = heard.take_view(Time::from_secs(1), &bytes);
+    }
+    assert!(heard.who().count() > 2, "the corpus is of this fleet and is understood");
+}
+
+#[test]
+fn no_message_brings_a_member_down_or_grows_it_or_makes_it_say_too_much() {
+    let from = kept();
+    let mut rng = fastrand::Rng::with_seed(7);
+    let (mut members, _, mut now) = talk(10);
+    let mut heard = members.remove(0);
+    for round in 0..rounds() {
+        let bytes = mutate(&mut rng, &from);
+        now += Time::from_micros(200);
+        heard.receive(now, &bytes);
+        if round % 16 == 0 {
+            let _ = heard.take_view(now, &bytes);
+            heard.tick(now);
+        }
+        while let Some(output) = heard.output() {
+            if let Output::Send(_, bytes) = output {
+                assert!(bytes.len() <= 1200, "{} bytes", bytes.len());
+            }
+        }
+        assert!(heard.size() <= 65, "{} members", heard.size());
+    }
+    let own = heard.me().clone();
+    assert!(heard.who().any(|(name, _)| *name == own.name), "it still knows itself");
+    let _ = State::Alive;
+}
--- a/crates/sidecar/src/counters.rs
+++ b/crates/sidecar/src/counters.rs
@@ -45,6 +45,8 @@
     retries_barred,
     /// Connections that were not made in time as the fleet's budget for them is used up.
     connections_barred,
+    /// Probes that were not sent as the fleet's budget for them is used up.
+    probes_barred,
     /// Sessions taken in.
     sessions,
     /// Sessions answered with a backend server's answer.
--- a/crates/sidecar/src/dispatch.rs
+++ b/crates/sidecar/src/dispatch.rs
@@ -56,6 +56,10 @@
     fn probe(&self, to: UpstreamId) -> Later<Probed> {
         let carrier = self.clone();
         Box::pin(async move {
+            if carrier.purses.as_ref().is_some_and(|purses| !purses.probes()) {
+                count(&carrier.exchanger.counters.probes_barred);
+                return (Outcome::Moot, None);
+            }
             let fields = carrier.fields.borrow().clone();
             probe::ask(&carrier.exchanger, &fields, to).await
         })
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -121,8 +121,15 @@
     }
     life.tell(|machine, _| machine.listed(!directory.is_empty(), false));
     // Another stream of numbers than the module's, from the same seed.
-    let watch =
-        discovery::watch(host.clone(), directory.clone(), control.source.clone(), life.clone(), index, !seed);
+    let watch = discovery::watch(
+        host.clone(),
+        directory.clone(),
+        control.source.clone(),
+        life.clone(),
+        index,
+        !seed,
+        purses.clone(),
+    );
     let watch = platform.spawn(watch);
     let (sweeper, swept) = (platform.clone(), pool.clone());
     let sweep = platform.spawn(async move {
--- a/crates/sidecar/src/operator.rs
+++ b/crates/sidecar/src/operator.rs
@@ -81,6 +81,10 @@
     Retries,
     /// New connections to backend servers.
     Connections,
+    /// Probes.
+    Probes,
+    /// Calls to discovery.
+    Discovery,
 }
 
 /// `[fleet]`.
@@ -311,6 +315,8 @@
                 (UseWord::Open, _) => ("open".to_owned(), Use::Open),
                 (UseWord::Retries, _) => ("retries".to_owned(), Use::Retries),
                 (UseWord::Connections, _) => ("connections".to_owned(), Use::Connections),
+                (UseWord::Probes, _) => ("probes".to_owned(), Use::Probes),
+                (UseWord::Discovery, _) => ("discovery".to_owned(), Use::Discovery),
             };
             Ok((Whole { name, kind, size, floor: thousandths(section.floor) }, what))
         };
@@ -412,7 +418,9 @@
         let operator = Operator::parse(&text, "o.toml").expect("the example reads");
         let (fleet, budget) = (operator.fleet.expect("a fleet"), operator.budget.expect("budgets"));
         let (config, uses) = budget.config(&fleet, Duration::from_secs(3)).expect("it makes sense");
-        assert_eq!(uses, [Use::Tenant("kiosks".into()), Use::Open, Use::Retries, Use::Connections]);
+        let shared = [Use::Retries, Use::Connections, Use::Probes, Use::Discovery];
+        assert_eq!(uses[..2], [Use::Tenant("kiosks".into()), Use::Open]);
+        assert_eq!(uses[2..], shared);
         assert_eq!((config.pool(0), config.floor(0)), (185_000, 5_000));
         let told = |from: &str, to: &str| {
             assert!(text.contains(from), "{from}");
--- a/crates/sidecar/src/purse.rs
+++ b/crates/sidecar/src/purse.rs
@@ -21,6 +21,10 @@
     Retries,
     /// New connections to backend servers.
     Connections,
+    /// Probes.
+    Probes,
+    /// Calls to discovery.
+    Discovery,
 }
 
 /// What hears of events worth a line in the log.
@@ -119,6 +123,11 @@
         self.which(&Use::Retries).is_none_or(|whole| self.take(whole).is_ok())
     }
 
+    /// Whether a probe may go out.
+    pub fn probes(&self) -> bool {
+        self.which(&Use::Probes).is_none_or(|whole| self.take(whole).is_ok())
+    }
+
     /// Waits until a new connection may be made, until then at the latest; whether it may.
     pub async fn connects(&self, until: Instant) -> bool {
         let Some(whole) = self.which(&Use::Connections) else { return true };
@@ -132,6 +141,14 @@
         }
     }
 
+    /// Waits until discovery may be called. Danger: who has no part hears of no drain, so the file should give a floor.
+    pub async fn calls(&self) {
+        let Some(whole) = self.which(&Use::Discovery) else { return };
+        while let Err(wait) = self.take(whole) {
+            self.platform.sleep(wait.max(Duration::from_millis(1))).await;
+        }
+    }
+
     /// One use of a whole by its place in the file, as the emulator's load does.
     pub fn spend(self: &Rc<Self>, whole: usize) -> Option<Option<Held<P>>> {
         self.take(whole).ok()?;
