Whoever suspects a member probes it before calling it gone

Change: a suspect is probed four times by whoever suspects it, a quarter of the suspicion apart, and one such probe at least is given its time before anybody is called gone.

--- a/crates/emulator/tests/fleet.rs
+++ b/crates/emulator/tests/fleet.rs
@@ -54,6 +54,21 @@
     }
 }
 
+#[test]
+fn whose_denial_one_member_missed_is_not_called_gone_by_it() {
+    // Twelve members: one of them never heard the denial, and its suspicion ran on from one pause into the next, or
+    // out. Probing the suspect before the end of its suspicion settles it.
+    let gone = |parts| {
+        let seeds = [("pauses", 6), ("pauses", 37), ("pauses", 128), ("loss", 43)];
+        seeds.map(|(script, seed)| {
+            let report = play(script, seed, Some(12), parts);
+            report.broken.iter().any(|broken| broken.rule == Rule::AliveCalledGone)
+        })
+    };
+    assert_eq!(gone(Parts::default()), [false; 4]);
+    assert_eq!(gone(Parts { last_look: false, ..Parts::default() }), [true; 4]);
+}
+
 #[test]
 fn one_seed_is_one_run_and_a_dropped_fleet_is_gone() {
     let script = Script::find("split-again").expect("a shipped script");
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -136,6 +136,7 @@
     ("caution", |p, _| p.cautious = false),
     ("exchanges", |p, _| p.exchanges = false),
     ("own-time", |p, _| p.own_time = false),
+    ("last-look", |p, _| p.last_look = false),
     ("keepers-wait", |_, b| b.keeper_waits = false),
     ("divider-waits", |_, b| b.divider_waits = false),
     ("from-asking", |_, b| b.from_asking = false),
--- a/crates/membership/src/config.rs
+++ b/crates/membership/src/config.rs
@@ -75,6 +75,8 @@
     pub exchanges: bool,
     /// Defect if not: a word that somebody is gone is judged on one's own time.
     pub own_time: bool,
+    /// Whoever is about to call a member gone probes it once more.
+    pub last_look: bool,
 }
 
 impl Default for Parts {
@@ -89,6 +91,7 @@
             cautious: true,
             exchanges: true,
             own_time: true,
+            last_look: true,
         }
     }
 }
--- a/crates/membership/src/machine.rs
+++ b/crates/membership/src/machine.rs
@@ -64,8 +64,14 @@
     accusers: Vec<Name>,
     /// When suspicion ends.
     until: Time,
+    /// How often it was probed for the sake of this suspicion, and when last.
+    looks: u32,
+    looked: Time,
 }
 
+/// While a member is suspected it is probed so often by whoever suspects it.
+const LOOKS: u32 = 4;
+
 impl Member {
     fn there(&self) -> bool {
         matches!(self.state, State::Alive | State::Suspect)
@@ -216,7 +222,8 @@
             at = probe.again.into_iter().chain(probe.ask).chain([probe.ends]).fold(at, Time::min);
         }
         let favour = self.favours.front().map(|favour| favour.ends);
-        let suspicion = self.suspects.iter().filter_map(|name| self.members.get(name)).map(|m| m.until);
+        let suspects = self.suspects.iter().filter_map(|name| self.members.get(name));
+        let suspicion = suspects.map(|m| self.look_due(m));
         // What became due only now is not late.
         favour.into_iter().chain(suspicion).fold(at, Time::min).max(self.now)
     }
@@ -553,7 +560,7 @@
             && member.state == State::Suspect
             && member.record.generation == generation
         {
-            (member.since, member.until) = (now, now + timing.alone);
+            (member.since, member.until, member.looks) = (now, now + timing.alone, 0);
             member.accusers.truncate(1);
         }
     }
@@ -700,6 +707,8 @@
             told: None,
             accusers: Vec::new(),
             until: now,
+            looks: 0,
+            looked: now,
         };
         self.members.insert(name.clone(), member);
         let place = self.rng.usize(..=self.order.len());
@@ -732,7 +741,7 @@
         member.accusers.clear();
         if to == State::Suspect {
             member.accusers.push(by.clone());
-            member.until = now + timing.alone;
+            (member.until, member.looks, member.looked) = (now + timing.alone, 0, now);
         }
         if was != to || fresh {
             member.since = now;
@@ -822,15 +831,40 @@
         member.until = member.until.min(member.since + time);
     }
 
+    /// When a suspect is looked at once more, or its suspicion ends.
+    fn look_due(&self, member: &Member) -> Time {
+        let left = if self.parts().last_look { LOOKS.saturating_sub(member.looks) } else { 0 };
+        let timing = self.timing();
+        let next = member.until.saturating_sub(timing.suspicion / LOOKS * left);
+        if left == 0 { member.until } else { next.max(member.looked + timing.direct).min(member.until) }
+    }
+
     fn end_suspicions(&mut self) {
         let now = self.now;
         let due: Vec<Name> = self
             .suspects
             .iter()
-            .filter(|name| self.members.get(*name).is_some_and(|m| m.until <= now))
+            .filter(|name| self.members.get(*name).is_some_and(|m| self.look_due(m) <= now))
             .cloned()
             .collect();
         for name in due {
+            // Danger: its denial may have come to all but this one, as nobody tells the same word for ever.
+            let (seq, direct) = (self.seq(), self.timing().direct);
+            let last_look = self.parts().last_look;
+            if let Some(member) = self.members.get_mut(&name).filter(|m| last_look && m.looks < LOOKS) {
+                (member.looks, member.looked) = (member.looks + 1, now);
+                // One look at least is answered or not, however short the suspicion has become.
+                if member.looks == 1 || member.looks == LOOKS {
+                    member.until = member.until.max(now + direct);
+                }
+                if member.until <= now + direct {
+                    member.looks = LOOKS;
+                }
+                let record = member.record.clone();
+                let (name, generation) = (record.name.clone(), record.generation);
+                self.send_to(&record, Kind::Ping { seq, name, generation });
+                continue;
+            }
             // Danger: one that nobody answers can't tell the dead from those it does not hear.
             if self.isolated() {
                 let until = now + self.timing().suspicion;
