--- a/crates/budget/src/budget.rs
+++ b/crates/budget/src/budget.rs
@@ -158,11 +158,6 @@
         self.core.part(&self.config, whole, now)
     }
 
-    /// What of a whole is out now.
-    pub fn out(&self, whole: usize) -> u64 {
-        self.purses[whole].out
-    }
-
     fn lease(&self, whole: usize, now: Time) -> Part {
         let until = self.core.lent_until().unwrap_or_default();
         // What is lent, whether or not it has lapsed by now: just before its end it was that.
--- a/crates/budget/src/divider.rs
+++ b/crates/budget/src/divider.rs
@@ -192,33 +192,31 @@
         }
     }
 
-    /// A keeper's answer. Whether it has made this one the divider.
+    /// A keeper's answer.
     pub(crate) fn voted(
         &mut self,
         config: &Config,
         now: Time,
         (keeper, term, nonce): (u8, u64, u64),
         given: bool,
-    ) -> bool {
+    ) {
         self.seen = self.seen.max(term);
-        let Some(round) = self.rounds.iter_mut().find(|round| round.nonce == nonce) else { return false };
+        let Some(round) = self.rounds.iter_mut().find(|round| round.nonce == nonce) else { return };
         if !given || usize::from(keeper) >= config.keepers.len() {
-            return false;
+            return;
         }
         round.votes |= 1 << keeper;
         // The term counts from when these votes were asked for: each keeper began to count later.
         let until = round.asked + config.term();
         if round.votes.count_ones() < config.majority() || now >= until {
-            return false;
+            return;
         }
-        let first = self.until.is_none();
-        self.until = Some(self.until.map_or(until, |had| had.max(until)));
-        if first {
+        if self.until.is_none() {
             self.elected = now;
             self.records.clear();
             self.divided = None;
         }
-        first
+        self.until = self.until.max(Some(until));
     }
 
     /// Answers a holder.
@@ -298,9 +296,11 @@
                 0
             } else if now < self.waits_until(config, whole) {
                 have.min(free)
-            } else if target.abs_diff(have) * 20 < have || target <= have {
+            } else if target.abs_diff(have) * 20 < have {
                 // Little changes are not made.
-                if target.abs_diff(have) * 20 < have { have.min(free) } else { target }
+                have.min(free)
+            } else if target <= have {
+                target
             } else {
                 // Whoever is to have less has not said yet that it has; until then there is only what is free.
                 have.max(target.min(free))
--- a/crates/budget/src/holder.rs
+++ b/crates/budget/src/holder.rs
@@ -148,7 +148,7 @@
         self.ask(config, now)
     }
 
-    /// A part was granted. Whether it counts.
+    /// A part was granted.
     pub(crate) fn granted(
         &mut self,
         config: &Config,
@@ -156,14 +156,14 @@
         from: SocketAddrV4,
         (ballot, seq): (Ballot, u64),
         parts: &[u64],
-    ) -> bool {
+    ) {
         // Danger: an answer to an older question is of a part that the divider no longer charges.
         if ballot != self.promised || seq != self.seq || self.leaving {
-            return false;
+            return;
         }
         let until = if config.parts.from_asking { self.asked } else { now } + config.lease;
         if now >= until {
-            return false;
+            return;
         }
         let gives = (0..parts.len()).any(|whole| parts[whole] < self.lent(whole, now));
         self.parts.copy_from_slice(parts);
@@ -177,10 +177,9 @@
             // What it has given up is charged until it says so.
             self.next = self.next.min(now + config.every() / 16);
         }
-        true
     }
 
-    /// A divider wants its promise. Whether it is given, and the question to be asked anew.
+    /// A divider wants its promise; once it is given, the question is asked anew.
     pub(crate) fn promise(&mut self, now: Time, from: SocketAddrV4, ballot: Ballot) {
         if ballot > self.promised {
             self.promised = ballot;
--- a/crates/emulator/src/day.rs
+++ b/crates/emulator/src/day.rs
@@ -147,29 +147,16 @@
         let kind = self.kind;
         let seconds = |n: Nanos| Time(n as f64 / 1e9, n as f64 / 1e9);
         let exact = |f: f64| Span(f, f);
-        let lasting = !matches!(
-            kind,
-            DiscoveryMove
-                | BadFile
-                | NodeReplace
-                | CutAnswer
-                | ResetAnswer
-                | SidecarRestart
-                | SidecarKill
-                | SidecarGone
-                | SidecarLate
-        );
         FaultSection {
             kind,
             at: seconds(self.at),
-            lasting: lasting.then(|| seconds(self.lasting)),
+            lasting: kind.lasts().then(|| seconds(self.lasting)),
             target: (!self.target.is_empty()).then(|| self.target.clone()),
             tier: None,
             share: None,
-            factor: matches!(kind, Slow | FastErrors | Burst | HotCaller | SpoiltAnswers)
-                .then(|| exact(self.factor)),
-            delay: matches!(kind, ReportLate | DiscoveryStale).then(|| seconds(self.delay)),
-            byte: matches!(kind, CutAnswer | ResetAnswer).then(|| exact(self.byte as f64)),
+            factor: kind.has_factor().then(|| exact(self.factor)),
+            delay: kind.has_delay().then(|| seconds(self.delay)),
+            byte: kind.has_byte().then(|| exact(self.byte as f64)),
             takes_address: (kind == NodeReplace).then_some(self.takes_address),
             times: None,
         }
@@ -382,12 +369,8 @@
             let byte = section.byte.map_or(0, |b| whole(dice, b));
             let of_sidecar =
                 matches!(section.kind, HotCaller | SidecarRestart | SidecarDrain | SidecarKill | Descriptors);
-            let nowhere = matches!(
-                section.kind,
-                Burst | ReportLate | DiscoveryStale | DiscoveryDown | DiscoveryMove | BadFile | Retune
-            );
             let mut targets = Vec::new();
-            if nowhere {
+            if section.kind.is_nowhere() {
                 targets.push(String::new());
             } else if let Some(target) = &section.target {
                 targets.push(target.clone());
--- a/crates/emulator/src/fleet.rs
+++ b/crates/emulator/src/fleet.rs
@@ -3,11 +3,11 @@
 
 use crate::dice::Dice;
 use crate::kernel::{Kernel, MS, Nanos, Pid, SEC};
-use crate::net::{HostId, Links, Net, Wire};
+use crate::net::{HostId, Links, Net};
 use crate::platform::Emulated;
 use crate::share::{self, Divide, Follow, LEVEL, RATE, ShareReport, Spent, Till};
 use cometcroft_membership::{Config, Name, Parts, State, Timing};
-use cometcroft_script::{Broken, BudgetPlan, Doing, Judge, Look, Other, Plan};
+use cometcroft_script::{Broken, BudgetPlan, Doing, Judge, Look, Other, Plan, Wires};
 use cometcroft_sidecar::fleet::{Fleet, FleetParts};
 use serde::Serialize;
 use std::cell::RefCell;
@@ -90,7 +90,7 @@
     kernel: Rc<World>,
     judge: Judge,
     seats: Vec<Seat>,
-    wires: Vec<(usize, usize, usize, cometcroft_script::Wire)>,
+    wires: Wires,
     changes: Changes,
     parts: Parts,
     dice: Dice,
@@ -169,7 +169,7 @@
             dice: Dice::new(plan.seed, "fleet"),
             kernel,
             seats,
-            wires: Vec::new(),
+            wires: Wires::default(),
             changes: Changes::default(),
             parts,
             deaths: Vec::new(),
@@ -331,15 +331,10 @@
                 self.kernel.world_at(now + 2 * SEC, Event::End(i, self.seats[i].life));
             }
             Doing::Wire(fault, from, to, wire) => {
-                for &a in &from {
-                    for &b in to.iter().filter(|b| **b != a) {
-                        self.wires.retain(|(f, x, y, _)| (*f, *x, *y) != (fault, a, b));
-                        if let Some(wire) = wire {
-                            self.wires.push((fault, a, b, wire));
-                        }
-                        self.rewire(a, b);
-                    }
-                }
+                let FleetRun { wires, kernel, seats, .. } = self;
+                wires.put(fault, (&from, &to), wire, |a, b, all| {
+                    kernel.with_net(|net| net.wire(seats[a].host, seats[b].host, all));
+                });
             }
             Doing::Busy(i, loops) => {
                 self.seats[i].busy = loops;
@@ -359,24 +354,6 @@
         }
     }
 
-    /// Puts on a pair what all faults together make of it.
-    fn rewire(&self, a: usize, b: usize) {
-        let on = self.wires.iter().filter(|(_, x, y, _)| (*x, *y) == (a, b));
-        let all = on.fold(cometcroft_script::Wire::default(), |all, (.., wire)| all.and(*wire));
-        let wire = Wire {
-            cut: all.cut,
-            loss: all.loss,
-            copies: all.copies,
-            turned: all.turned,
-            delay: all.delay.as_nanos() as Nanos,
-            jitter: all.jitter.as_nanos() as Nanos,
-            reset: all.reset,
-            pace: all.pace,
-        };
-        let (from, to) = (self.seats[a].host, self.seats[b].host);
-        self.kernel.with_net(|net| net.wire(from, to, wire));
-    }
-
     fn start(&mut self, i: usize) {
         if self.seats[i].process.is_some() {
             return;
--- a/crates/emulator/src/net.rs
+++ b/crates/emulator/src/net.rs
@@ -8,6 +8,7 @@
 use crate::dice::Dice;
 use crate::kernel::{Nanos, Pid};
 use bytes::{Bytes, BytesMut};
+use cometcroft_script::Wire;
 use rustc_hash::FxHashMap;
 use std::collections::VecDeque;
 use std::io;
@@ -203,27 +204,6 @@
     most: usize,
 }
 
-/// What becomes of what one machine sends another, by direction. None of it is told to either.
-#[derive(Debug, Clone, Copy, Default, PartialEq)]
-pub struct Wire {
-    /// Nothing passes.
-    pub cut: bool,
-    /// The share of datagrams that is lost.
-    pub loss: f64,
-    /// The share that arrives twice.
-    pub copies: f64,
-    /// The share in which a byte is turned over.
-    pub turned: f64,
-    /// Each is this much later, ...
-    pub delay: Nanos,
-    /// ... and up to this much more, so that later ones overtake.
-    pub jitter: Nanos,
-    /// Connections are reset.
-    pub reset: bool,
-    /// So many bytes of datagrams a second pass; 0 for any number.
-    pub pace: f64,
-}
-
 /// What waits on a narrow way for longer than this is lost.
 const QUEUED: Nanos = 1_000_000_000;
 
@@ -400,7 +380,7 @@
         }
     }
 
-    /// From now on this is what becomes of what one machine sends another.
+    /// From now on this is what becomes of what one machine sends another. None of it is told to either.
     pub fn wire(&mut self, from: HostId, to: HostId, wire: Wire) {
         if wire == Wire::default() {
             self.wires.remove(&(from, to));
@@ -470,10 +450,11 @@
             *free = (*free).max(self.now) + (bytes.len() as f64 / wire.pace * 1e9) as Nanos;
         }
         for _ in 0..copies {
+            let (delay, jitter) = (wire.delay.as_nanos() as Nanos, wire.jitter.as_nanos() as Nanos);
             let late = queued
-                + match wire.jitter {
-                    0 => wire.delay,
-                    jitter => wire.delay + (jitter as f64 * self.hosts[host.0 as usize].dice.unit()) as Nanos,
+                + match jitter {
+                    0 => delay,
+                    jitter => delay + (jitter as f64 * self.hosts[host.0 as usize].dice.unit()) as Nanos,
                 };
             let at = self.now + self.delay(host, other) + late;
             self.push(at, Arrival::Datagram(from, to, bytes.clone()));
--- a/crates/script/src/lib.rs
+++ b/crates/script/src/lib.rs
@@ -9,4 +9,4 @@
 
 pub use file::{BudgetSection, Fault, FleetSection, Kind, SHIPPED, Script};
 pub use judge::{Broken, Judge, Look, Rule};
-pub use plan::{Act, BudgetPlan, Doing, MemberPlan, Other, Plan, Wire};
+pub use plan::{Act, BudgetPlan, Doing, MemberPlan, Other, Plan, Wire, Wires};
--- a/crates/script/src/plan.rs
+++ b/crates/script/src/plan.rs
@@ -44,6 +44,30 @@
     }
 }
 
+/// What all faults together make of each ordered pair of members.
+#[derive(Debug, Default)]
+pub struct Wires(Vec<(usize, usize, usize, Wire)>);
+
+impl Wires {
+    /// Puts a fault on all these pairs, or takes it away, and tells each pair and what it has become.
+    pub fn put(
+        &mut self,
+        fault: usize,
+        (from, to): (&[usize], &[usize]),
+        wire: Option<Wire>,
+        mut became: impl FnMut(usize, usize, Wire),
+    ) {
+        for &a in from {
+            for &b in to.iter().filter(|b| **b != a) {
+                self.0.retain(|(f, x, y, _)| (*f, *x, *y) != (fault, a, b));
+                self.0.extend(wire.map(|wire| (fault, a, b, wire)));
+                let on = self.0.iter().filter(|(_, x, y, _)| (*x, *y) == (a, b));
+                became(a, b, on.fold(Wire::default(), |all, (.., wire)| all.and(*wire)));
+            }
+        }
+    }
+}
+
 /// What is done.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Doing {
--- a/crates/sidecar/src/fleet.rs
+++ b/crates/sidecar/src/fleet.rs
@@ -2,6 +2,7 @@
 //! it; what it learns reaches the module as settings.
 
 use crate::purse::{BudgetParts, Purses};
+use cometcroft::Settings;
 use cometcroft_budget::is_ours;
 use cometcroft_membership::{Change, Config, Headcount, MAX_DATAGRAM, Membership, Output, Time};
 use cometcroft_platform::{Datagrams, Listener, Platform, Task};
@@ -214,6 +215,14 @@
         self.in_force.get()
     }
 
+    /// Puts what the fleet knows into settings: how many are at work, and this one's parts of the tenants' quotas.
+    pub fn settle(&self, settings: &mut Settings, tenants: &[String]) {
+        settings.instances = self.at_work();
+        if let Some(purses) = &self.purses {
+            purses.settle(settings, tenants);
+        }
+    }
+
     /// Its budgets, if it has any.
     pub fn purses(&self) -> Option<&Rc<Purses<P>>> {
         self.purses.as_ref()
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -38,7 +38,7 @@
 use crate::lifecycle::Life;
 use crate::retune::Control;
 use crate::session::Host;
-use cometcroft::{Event, ListScope, Settings};
+use cometcroft::{Event, ListScope};
 use cometcroft_platform::{Platform, Task};
 use std::cell::RefCell;
 use std::io;
@@ -158,7 +158,7 @@
         life.clone(),
         counters,
         [to_clients, config.memory / 4],
-        purses.clone(),
+        purses,
     );
     let (tuned, tuner) = (frontend.clone(), platform.clone());
     let tune = platform.spawn(async move {
@@ -178,17 +178,14 @@
                 if let Some(said) = &mut said {
                     *said = (settings.clone(), net.clone());
                 }
-                settings.instances = fleet.as_ref().map_or(settings.instances, |fleet| fleet.at_work());
-                if let Some(purses) = &purses {
-                    purses.settle(&mut settings, &net.tenants);
+                if let Some(fleet) = &fleet {
+                    fleet.settle(&mut settings, &net.tenants);
                 }
                 tuned.retune(settings, &net.classes, net.tenants);
             } else if let (Some(fleet), Some((settings, net))) = (&fleet, &said) {
                 // All sums over the fleet are divided by who is there from now on.
-                let mut settings = Settings { instances: fleet.at_work(), ..settings.clone() };
-                if let Some(purses) = &purses {
-                    purses.settle(&mut settings, &net.tenants);
-                }
+                let mut settings = settings.clone();
+                fleet.settle(&mut settings, &net.tenants);
                 tuned.retune(settings, &net.classes, net.tenants.clone());
                 // Danger: hundreds that join in a second would have the module take new settings for each.
                 tuner.sleep(RECOUNT).await;
