The log: agreed by keepers round a library, learned by all, memory lost without a vote

Need: words that a whole fleet takes in one order, that outlive any minority, on machines whose disks don't survive. Nothing uses it yet.

--- /dev/null
+++ b/crates/consensus/src/error.rs
@@ -0,0 +1,107 @@
+//! What may be wrong with the log, and what an operator can do.
+
+use std::time::Duration;
+use thiserror::Error;
+
+/// What is wrong, each with a code that stays.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum ConsensusError {
+    /// No word was ever agreed on, as far as is known.
+    #[error("this fleet's plan was never founded, or every copy of it is lost")]
+    NotFounded,
+    /// It is not known whether the word was taken.
+    #[error("no answer within {0:?}: the word may have been taken or not")]
+    Unknown(Duration),
+    /// Too few keepers answer.
+    #[error("{reached} of {of} keepers answer, a majority is needed")]
+    NoMajority {
+        /// So many answer.
+        reached: usize,
+        /// Of so many.
+        of: usize,
+    },
+    /// A founding was asked for while the keepers agree.
+    #[error(
+        "the keepers agree with one another, led by place {0}: nothing is lost that a founding could mend"
+    )]
+    HasLeader(usize),
+    /// Another founding was under way.
+    #[error("another founding has taken the keepers' voices")]
+    Contested,
+    /// The newest copy could not be had.
+    #[error("the newest copy, at place {0} of the log, could not be fetched in time")]
+    CopyNotReached(u64),
+    /// One founding at a time.
+    #[error("a founding is under way at this door")]
+    Founding,
+    /// A word that is too long.
+    #[error("the word has {length} bytes, {most} at most")]
+    TooLong {
+        /// Its length.
+        length: usize,
+        /// What is allowed.
+        most: usize,
+    },
+    /// Too many words at once.
+    #[error("{0} words of this door are not answered yet")]
+    Crowded(usize),
+}
+
+impl ConsensusError {
+    /// A code that stays.
+    pub fn code(&self) -> &'static str {
+        match self {
+            ConsensusError::NotFounded => "log.not-founded",
+            ConsensusError::Unknown(_) => "log.unknown",
+            ConsensusError::NoMajority { .. } => "log.no-majority",
+            ConsensusError::HasLeader(_) => "log.has-leader",
+            ConsensusError::Contested => "log.contested",
+            ConsensusError::CopyNotReached(_) => "log.copy-not-reached",
+            ConsensusError::Founding => "log.founding",
+            ConsensusError::TooLong { .. } => "log.too-long",
+            ConsensusError::Crowded(_) => "log.crowded",
+        }
+    }
+
+    /// What an operator can do.
+    pub fn remedy(&self) -> &'static str {
+        match self {
+            ConsensusError::NotFounded => {
+                "if the fleet is new, or all keepers were lost at once: PUT /ops/plan/refound at one door"
+            }
+            ConsensusError::Unknown(_) => {
+                "say the same word again with the same id: it is done once; or look at GET /ops/plan, at a door of another side of a cut if there is one"
+            }
+            ConsensusError::NoMajority { .. } => {
+                "start the keepers that are missing, or mend the way to them; keepers are in GET /ops/plan"
+            }
+            ConsensusError::HasLeader(_) => "say the word that you wanted to say; do not found anew",
+            ConsensusError::Contested => {
+                "wait for some seconds, look at GET /ops/plan, and found again only if it still has no leader"
+            }
+            ConsensusError::CopyNotReached(_) => {
+                "mend the way to the sidecars that hold the newest copy, or found again with them stopped, which gives up what they hold alone"
+            }
+            ConsensusError::Founding => "wait for its answer",
+            ConsensusError::TooLong { .. } => {
+                "shorten the revision: selectors by zone or group in place of names"
+            }
+            ConsensusError::Crowded(_) => "wait until they are answered",
+        }
+    }
+
+    /// One of each, for whoever lists the codes.
+    pub fn all() -> Vec<ConsensusError> {
+        vec![
+            ConsensusError::NotFounded,
+            ConsensusError::Unknown(Duration::from_secs(5)),
+            ConsensusError::NoMajority { reached: 1, of: 3 },
+            ConsensusError::HasLeader(0),
+            ConsensusError::Contested,
+            ConsensusError::CopyNotReached(7),
+            ConsensusError::Founding,
+            ConsensusError::TooLong { length: 2, most: 1 },
+            ConsensusError::Crowded(16),
+        ]
+    }
+}
