--- /dev/null
+++ b/crates/emulator/src/agree.rs
@@ -0,0 +1,69 @@
+//! What a played fleet says to and hears of its plan: words at doors, where each member stands, for the judge.
+
+use crate::platform::Emulated;
+use cometcroft_consensus::Config;
+use cometcroft_plan::{Answer, PermitState, What, Word};
+use cometcroft_script::{PlanLook, Say, Spoken};
+use cometcroft_sidecar::accord::{Accord, AccordParts};
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// What a member that starts is given for the plan.
+pub fn parts(own: SocketAddrV4, keepers: Vec<SocketAddrV4>, log: cometcroft_consensus::Parts) -> AccordParts {
+    let mut config = Config::new("played", own, keepers);
+    config.parts = log;
+    AccordParts { config, wait: Duration::from_millis(300), listener: Box::new(|_| ()) }
+}
+
+/// Says a word at a member's door; the entry at which it was taken, or why not.
+pub async fn say<E: 'static>(accord: Rc<Accord<Emulated<E>>>, spoken: Spoken) -> Result<u64, String>
+where
+    Emulated<E>: cometcroft_platform::Platform,
+{
+    let Spoken { say, id, text, number, server, waves } = spoken;
+    let word = match say {
+        Say::Refound => return accord.found().await.map_err(|failure| failure.code().to_owned()),
+        Say::Propose => Word::Propose { text },
+        Say::Rollback => Word::RollBack { to: number },
+        Say::Release => Word::Release { text, waves },
+        Say::Halt => Word::Halt,
+        Say::Resume => Word::Resume,
+        Say::Back => Word::Back,
+        Say::Drain => {
+            let tier = accord.tier();
+            Word::Ask { what: What::Server(server), zone: "a".to_owned(), tier, for_s: 60 }
+        }
+        Say::Restart => {
+            let (what, zone, tier) = accord.own();
+            Word::Ask { what, zone, tier, for_s: 60 }
+        }
+        Say::Return => Word::Return { permit: number },
+        Say::Force => Word::Force { permit: number },
+    };
+    match accord.say(word, "script", None, Some(id)).await {
+        Ok(Answer::Taken { index, .. }) => Ok(index),
+        Ok(Answer::Refused(error)) => Err(error.code().to_owned()),
+        Err(failure) => Err(failure.code().to_owned()),
+    }
+}
+
+/// Where a member's plan stands.
+pub fn look<P: cometcroft_platform::Platform>(accord: &Accord<P>) -> PlanLook {
+    let (in_force, leads) = (accord.stands(), accord.led());
+    accord.ask(|log| {
+        let (place, plan) = (log.place(), log.machine());
+        let permits = plan.permits().values();
+        let clear = permits.clone().filter(|it| matches!(it.state, PermitState::Clear { .. }));
+        let waved = plan.release().map(|_| plan.waved());
+        PlanLook {
+            place: (place.founding, place.index),
+            sum: format!("{:016x}", place.sum),
+            in_force,
+            halted: plan.halted().is_some(),
+            steps: permits.filter_map(|it| it.since()).chain(waved).collect(),
+            clear: clear.map(|it| it.what.name().to_owned()).collect(),
+            led: leads,
+        }
+    })
+}
--- a/crates/emulator/src/fleet.rs
+++ b/crates/emulator/src/fleet.rs
@@ -1,13 +1,16 @@
 //! Fleets on the virtual clock: the sidecar's own driver of membership, many times over, under a script of faults, held
 //! against the rules by the same judge that real processes are held against.
 
+use crate::agree;
 use crate::dice::Dice;
 use crate::kernel::{Kernel, MS, Nanos, Pid, SEC};
 use crate::net::{HostId, Links, Net};
 use crate::platform::Emulated;
 use crate::share::{self, Divide, Follow, LEVEL, RATE, ShareReport, Spent, Till};
 use cometcroft_membership::{Config, Name, Parts, State, Timing};
-use cometcroft_script::{Broken, BudgetPlan, Doing, Judge, Look, Other, Plan, Wires};
+use cometcroft_script::{
+    Broken, BudgetPlan, Doing, Judge, Look, Other, Plan, PlanLook, Say, Wires, same_plans,
+};
 use cometcroft_sidecar::fleet::{Fleet, FleetParts};
 use serde::Serialize;
 use std::cell::RefCell;
@@ -80,6 +83,8 @@
     pub exchange_bytes_s: f64,
     /// What the budget that it shares came to, if there is one.
     pub share: Option<ShareReport>,
+    /// What its plan came to, if there is one.
+    pub agreed: Option<AgreedReport>,
     /// Rules that were broken.
     pub broken: Vec<Broken>,
 }
@@ -101,9 +106,36 @@
     divide: Divide,
     budget_parts: cometcroft_budget::Parts,
     till: Rc<RefCell<Till>>,
+    log_parts: cometcroft_consensus::Parts,
+    answers: Answers,
+    agreed: AgreedReport,
+    agreed_since: Option<Nanos>,
+    /// Entries that are not in force everywhere yet, and since when they are known; the last that was.
+    entries: Vec<(u64, Nanos)>,
+    settled: u64,
     sharing: Sharing,
 }
 
+/// What came of words: when, which, at which founding of the log, the entry or the reason.
+type Answers = Rc<RefCell<Vec<(Duration, Say, u64, Result<u64, String>)>>>;
+
+/// What a plan came to.
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct AgreedReport {
+    /// Words that were taken, refused by their reason's code, and not known to be either.
+    pub taken: u64,
+    /// Refused.
+    pub refused: std::collections::BTreeMap<String, u64>,
+    /// Unknown.
+    pub unknown: u64,
+    /// From the last act until all stood at one place with it in force, if they did.
+    pub equal_s: Option<f64>,
+    /// From each entry's first sight anywhere until it was in force everywhere.
+    pub in_force_s: Vec<f64>,
+    /// Bytes of the log a second and member.
+    pub bytes_s: f64,
+}
+
 /// What is counted of a budget.
 #[derive(Default)]
 struct Sharing {
@@ -179,11 +211,23 @@
             divide: Divide::default(),
             budget_parts: cometcroft_budget::Parts::default(),
             till: Rc::default(),
+            log_parts: cometcroft_consensus::Parts::default(),
+            answers: Answers::default(),
+            agreed: AgreedReport::default(),
+            agreed_since: None,
+            entries: Vec::new(),
+            settled: 0,
             sharing: Sharing { by_seat: vec![(0.0, 0.0); plan.members.len()], ..Sharing::default() },
             plan,
         }
     }
 
+    /// The same with a log that has a planted defect.
+    pub fn agreeing(mut self, parts: cometcroft_consensus::Parts) -> FleetRun {
+        self.log_parts = parts;
+        self
+    }
+
     /// The same with its budget divided in another way, or by a protocol with a defect.
     pub fn divided(mut self, divide: Divide, parts: cometcroft_budget::Parts) -> FleetRun {
         (self.divide, self.budget_parts) = (divide, parts);
@@ -201,18 +245,58 @@
             self.kernel.notes();
             self.kernel.taps();
             self.hear();
+            self.hear_answers();
             self.share();
             if stop && !self.judge.broken.is_empty() {
                 break;
             }
         }
         self.judge_the_division();
+        self.judge_the_plans();
         for i in 0..self.seats.len() {
             self.count_life(i);
         }
         self.report()
     }
 
+    /// Who runs, with where its plan stands.
+    fn plans(&self) -> Vec<(usize, PlanLook)> {
+        let runs = |(i, seat): (usize, &Seat)| {
+            let (_, fleet) = seat.process.as_ref().filter(|(pid, _)| !self.kernel.stopped(*pid))?;
+            Some((i, agree::look(fleet.accord()?)))
+        };
+        self.seats.iter().enumerate().filter_map(runs).collect()
+    }
+
+    /// Long after the last fault all stand at one place.
+    fn judge_the_plans(&mut self) {
+        let now = time(self.kernel.now());
+        if now >= self.plan.quiet_from + Duration::from_secs(6) {
+            let plans = self.plans();
+            self.judge.plans(now, &plans);
+        }
+        self.agreed.equal_s = self
+            .agreed_since
+            .map(|at| at.saturating_sub(self.plan.quiet_from.as_nanos() as Nanos) as f64 / 1e9);
+    }
+
+    /// What came of words, and how soon what is agreed is in force everywhere.
+    fn hear_answers(&mut self) {
+        if self.plan.keepers == 0 {
+            return;
+        }
+        for (_, say, founding, taken) in std::mem::take(&mut *self.answers.borrow_mut()) {
+            match taken {
+                Ok(index) => {
+                    self.agreed.taken += 1;
+                    self.judge.acknowledged(founding, index, say);
+                }
+                Err(code) if code == "log.unknown" => self.agreed.unknown += 1,
+                Err(code) => *self.agreed.refused.entry(code).or_default() += 1,
+            }
+        }
+    }
+
     /// Long after the last fault everybody who runs is answered by a divider.
     fn judge_the_division(&mut self) {
         let Some(budget) = &self.plan.budget else { return };
@@ -262,6 +346,7 @@
                     self.equal_since = Some(now);
                 }
                 self.needs(now);
+                self.look_at_plans(now);
                 self.kernel.world_at(now + 100 * MS, Event::Equal);
             }
             Event::Slice(i, loops) => {
@@ -347,6 +432,17 @@
                 }
             }
             Doing::File(i, other) => self.seats[i].other = other,
+            Doing::Say(i, spoken) => {
+                let Some((pid, fleet)) = &self.seats[i].process else { return };
+                let Some(accord) = fleet.accord().cloned() else { return };
+                let (answers, door, kernel) = (self.answers.clone(), accord.clone(), self.kernel.clone());
+                self.kernel.spawn(*pid, async move {
+                    let said = spoken.say;
+                    let taken = agree::say(accord, spoken).await;
+                    let founding = door.ask(|log| log.place().founding);
+                    answers.borrow_mut().push((time(kernel.now()), said, founding, taken));
+                });
+            }
             Doing::Garbage(i, rate) => {
                 self.seats[i].garbage = rate;
                 self.kernel.world_at(now, Event::Garbage(i, rate));
@@ -388,6 +484,8 @@
             let told = share::told(&self.plan, &budget, &places, own, self.budget_parts);
             share::parts(told, life)
         });
+        let keepers = self.plan.keepers.min(places.len());
+        let accord = (keepers > 0).then(|| agree::parts(own, places[..keepers].to_vec(), self.log_parts));
         let parts = FleetParts {
             config,
             socket: platform.datagrams(at),
@@ -398,12 +496,22 @@
                 changes.borrow_mut().push((i, name, change.generation, change.from, change.to));
             }),
             budget,
+            accord,
         };
         let seed = Dice::new(self.plan.seed, &format!("{} {i} life {}", seat.name, seat.life)).bits();
         let (fleet, listener) = Fleet::new(platform.clone(), parts, self.plan.first as u32, seed);
         self.judge.known(i, fleet.ask(|machine| machine.me().generation));
         let running = fleet.clone();
         self.kernel.spawn(pid, running.run(listener));
+        if let Some(accord) = fleet.accord().cloned() {
+            let told = fleet.clone();
+            self.kernel.spawn(pid, async move {
+                loop {
+                    told.recounted().await;
+                    accord.put_in_force();
+                }
+            });
+        }
         if let Some(budget) = &self.plan.budget {
             let spends = (fleet.clone(), self.divide);
             share::load(&self.kernel, &platform, spends, (&self.plan, budget, i), &self.till);
@@ -441,6 +549,9 @@
                 self.sharing.sent.1 += counted.sent_bytes;
                 self.sharing.elections += counted.elections;
             }
+            if let Some(accord) = fleet.accord() {
+                self.agreed.bytes_s += accord.sent() as f64;
+            }
             seat.lived += now - seat.started;
         }
     }
@@ -460,6 +571,7 @@
                 reached,
                 known,
                 superseded: machine.superseded(),
+                plan: fleet.accord().map(|accord| agree::look(accord)),
                 answered: None,
             }
         }))
@@ -537,6 +649,37 @@
         self.sharing.follow.look(now, hot, needs[hot].min(room));
     }
 
+    /// When each entry was first seen anywhere, and when it was in force everywhere.
+    fn look_at_plans(&mut self, now: Nanos) {
+        if self.plan.keepers == 0 {
+            return;
+        }
+        let plans = self.plans();
+        let last = plans.iter().map(|(_, look)| look.place.1).max().unwrap_or(0);
+        let least = plans.iter().map(|(_, look)| look.in_force.0).min().unwrap_or(0);
+        if self.entries.last().is_none_or(|(index, _)| *index < last) && last > 0 {
+            self.entries.push((last, now));
+        }
+        while let Some((index, at)) = self.entries.first().copied().filter(|(index, _)| *index <= least) {
+            // The last is kept, so that it is not taken for a new one.
+            if self.entries.len() == 1 && self.settled >= index {
+                break;
+            }
+            if self.settled < index {
+                self.agreed.in_force_s.push((now - at) as f64 / 1e9);
+                self.settled = index;
+            }
+            if self.entries.len() == 1 {
+                break;
+            }
+            self.entries.remove(0);
+        }
+        match same_plans(&plans) {
+            Ok(()) => self.agreed_since = self.agreed_since.or(Some(now)),
+            Err(_) => self.agreed_since = None,
+        }
+    }
+
     /// Holds what was spent and what is in force against the whole, after each step.
     fn share(&mut self) {
         let Some(budget) = &self.plan.budget else { return };
@@ -642,6 +785,8 @@
             bytes_s: (sum(|seat| seat.sent.1) + self.exchanged as f64) / lived_s,
             exchange_bytes_s: self.exchanged as f64 / lived_s,
             share: self.shared(lived_s),
+            agreed: (self.plan.keepers > 0)
+                .then(|| AgreedReport { bytes_s: self.agreed.bytes_s / lived_s, ..self.agreed.clone() }),
             broken: self.judge.broken.clone(),
         }
     }
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -8,6 +8,7 @@
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
+mod agree;
 pub mod clients;
 pub mod day;
 pub mod dice;
--- /dev/null
+++ b/crates/plan/src/plan.rs
@@ -0,0 +1,565 @@
+//! What has been agreed, word for word.
+
+use crate::content::{Content, OutOf};
+use crate::error::PlanError;
+use crate::word::{Answer, Id, Said, What, Word};
+use cometcroft_consensus::Machine;
+use serde::{Deserialize, Serialize};
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::rc::Rc;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Revisions that are kept, pinned ones among them; bytes of their texts; permits; answers that are remembered.
+const REVISIONS: usize = 64;
+const TEXTS: usize = 256 << 10;
+const PERMITS: usize = 256;
+const ANSWERS: usize = 512;
+/// Names that a permit's missing are cut to.
+const MISSING: usize = 64;
+
+/// Parts that can be left out, as planted defects do.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Parts {
+    /// A word that expects another revision is refused.
+    pub expects: bool,
+    /// A permit is given once.
+    pub once: bool,
+    /// Who is dead or missing counts against the limit.
+    pub missing: bool,
+    /// A halt binds.
+    pub halts: bool,
+    /// Clear waits for who is cut off.
+    pub waits: bool,
+}
+
+impl Default for Parts {
+    fn default() -> Parts {
+        Parts { expects: true, once: true, missing: true, halts: true, waits: true }
+    }
+}
+
+/// A revision.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Revision {
+    /// The digest of its content.
+    pub digest: u64,
+    /// At which door it was said.
+    pub by: String,
+    /// Why.
+    pub reason: String,
+    /// When, by the clock there.
+    pub unix_ms: u64,
+    /// The revision whose content it puts back.
+    pub of: Option<u32>,
+    /// It is kept for ever.
+    pub pinned: bool,
+}
+
+/// Where a permit stands.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PermitState {
+    /// It waits for its turn.
+    Waits,
+    /// It is given, from this entry of the log on.
+    Out {
+        /// Which.
+        since: u64,
+    },
+    /// Nobody sends there any more; forced, if somebody had not confirmed.
+    Clear {
+        /// Since when it was given.
+        since: u64,
+        /// By whom it was forced.
+        forced: Option<String>,
+    },
+}
+
+/// A permit.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Permit {
+    /// For what.
+    pub what: What,
+    /// Its zone.
+    pub zone: String,
+    /// Its tier.
+    pub tier: u8,
+    /// At which door it was asked for.
+    pub by: String,
+    /// When it is overdue, by the clock of who asked.
+    pub due_ms: u64,
+    /// Where it stands.
+    pub state: PermitState,
+    /// Why it still waits, as of the leader's last try.
+    pub waits_for: Option<PlanError>,
+}
+
+/// Which way a release goes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Phase {
+    /// Forward.
+    Going,
+    /// Back.
+    Back,
+}
+
+/// A release.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Release {
+    /// The revision that it brings.
+    pub revision: u32,
+    /// The share of the sidecars after each wave, in thousandths.
+    pub waves: Vec<u16>,
+    /// So many waves have begun.
+    pub wave: u32,
+    /// Which way.
+    pub phase: Phase,
+}
+
+impl Release {
+    /// The share that has it now, in thousandths.
+    pub fn share(&self) -> u16 {
+        (self.wave as usize).checked_sub(1).and_then(|at| self.waves.get(at)).copied().unwrap_or(0)
+    }
+}
+
+/// The thousandth at which a release reaches a sidecar: drawn from its name, another for each release.
+pub fn reach(name: &str, revision: u32) -> u16 {
+    (xxh3_64(format!("{name}|{revision}").as_bytes()) % 1000) as u16
+}
+
+/// What a plan holds, as a snapshot has it.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+struct Held {
+    index: u64,
+    revisions: BTreeMap<u32, Revision>,
+    texts: BTreeMap<u64, String>,
+    current: u32,
+    last: u32,
+    permits: BTreeMap<u32, Permit>,
+    last_permit: u32,
+    release: Option<Release>,
+    /// The entry of the release's last step, and of the last that went forward.
+    stepped: u64,
+    waved: u64,
+    halted: Option<String>,
+    storm: bool,
+    storms: u32,
+    answers: VecDeque<(Id, Answer)>,
+}
+
+/// What has been agreed.
+#[derive(Debug, Clone, Default)]
+pub struct Plan {
+    held: Held,
+    parts: Parts,
+    /// Contents as read, by digest.
+    read: RefCell<BTreeMap<u64, Rc<Content>>>,
+}
+
+impl PartialEq for Plan {
+    fn eq(&self, other: &Plan) -> bool {
+        self.held == other.held
+    }
+}
+
+impl Machine for Plan {
+    fn fresh() -> Plan {
+        let mut plan = Plan::default();
+        plan.keep(
+            0,
+            "version = 1\n",
+            Revision {
+                digest: 0,
+                by: String::new(),
+                reason: "the files alone".to_owned(),
+                unix_ms: 0,
+                of: None,
+                pinned: true,
+            },
+        );
+        plan
+    }
+
+    fn apply(&mut self, index: u64, word: &[u8]) {
+        self.held.index = index;
+        if let Some(said) = Said::read(word) {
+            self.said(index, said);
+        }
+        self.check();
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        postcard::to_stdvec(&self.held).unwrap_or_default()
+    }
+
+    fn restore(bytes: &[u8]) -> Option<Plan> {
+        let held = postcard::from_bytes(bytes).ok()?;
+        Some(Plan { held, ..Plan::default() })
+    }
+}
+
+impl Plan {
+    /// The same with a planted defect.
+    pub fn with(mut self, parts: Parts) -> Plan {
+        self.parts = parts;
+        self
+    }
+
+    /// What came of a word, as long as it is remembered.
+    pub fn answer(&self, id: Id) -> Option<&Answer> {
+        self.held.answers.iter().rev().find(|(known, _)| *known == id).map(|(_, answer)| answer)
+    }
+
+    /// The revision that is in force for all whom no release has reached.
+    pub fn current(&self) -> u32 {
+        self.held.current
+    }
+
+    /// The revision that a sidecar goes by.
+    pub fn in_force(&self, name: &str) -> u32 {
+        match &self.held.release {
+            Some(release) if reach(name, release.revision) < release.share() => release.revision,
+            _ => self.held.current,
+        }
+    }
+
+    /// Revisions that are kept.
+    pub fn revisions(&self) -> &BTreeMap<u32, Revision> {
+        &self.held.revisions
+    }
+
+    /// A revision's text.
+    pub fn text(&self, revision: u32) -> Option<&str> {
+        let digest = self.held.revisions.get(&revision)?.digest;
+        self.held.texts.get(&digest).map(String::as_str)
+    }
+
+    /// A revision's content; nothing but the files for one that is not kept.
+    pub fn content(&self, revision: u32) -> Rc<Content> {
+        let digest = self.held.revisions.get(&revision).map_or(0, |revision| revision.digest);
+        let mut read = self.read.borrow_mut();
+        if read.len() > REVISIONS {
+            read.clear();
+        }
+        let text = self.held.texts.get(&digest);
+        let parse = || text.and_then(|text| Content::parse(text, "revision").ok());
+        let content = || Rc::new(parse().unwrap_or_else(Content::plain));
+        read.entry(digest).or_insert_with(content).clone()
+    }
+
+    /// Permits, by number.
+    pub fn permits(&self) -> &BTreeMap<u32, Permit> {
+        &self.held.permits
+    }
+
+    /// The release that goes on.
+    pub fn release(&self) -> Option<&Release> {
+        self.held.release.as_ref()
+    }
+
+    /// The entry of the release's last step.
+    pub fn stepped(&self) -> u64 {
+        self.held.stepped
+    }
+
+    /// The entry of the last wave that began.
+    pub fn waved(&self) -> u64 {
+        self.held.waved
+    }
+
+    /// By whom everything is halted.
+    pub fn halted(&self) -> Option<&str> {
+        self.held.halted.as_deref()
+    }
+
+    /// Whether retries storm, and how often that has changed.
+    pub fn storm(&self) -> (bool, u32) {
+        (self.held.storm, self.held.storms)
+    }
+
+    /// Backend servers that are barred by a permit.
+    pub fn barred(&self) -> BTreeSet<&str> {
+        let out = |permit: &&Permit| permit.what.server() && permit.state != PermitState::Waits;
+        self.held.permits.values().filter(out).map(|permit| permit.what.name()).collect()
+    }
+
+    fn said(&mut self, index: u64, said: Said) {
+        // Danger: a word comes to the log twice where its answer was slow; it is done once.
+        if self.answer(said.id).is_some() {
+            return;
+        }
+        let (id, expected) = (said.id, said.expects.filter(|_| self.parts.expects));
+        let done = match expected.filter(|expected| *expected != self.held.current) {
+            Some(expected) => Err(PlanError::Moved { expected, found: self.held.current }),
+            None => self.done(index, said),
+        };
+        let answer = match done {
+            Ok(number) => Answer::Taken { index, number },
+            Err(error) => Answer::Refused(error),
+        };
+        self.held.answers.push_back((id, answer));
+        while self.held.answers.len() > ANSWERS {
+            self.held.answers.pop_front();
+        }
+    }
+
+    fn done(&mut self, index: u64, said: Said) -> Result<u32, PlanError> {
+        let Said { by, reason, unix_ms, word, .. } = said;
+        let named = |of| Revision { digest: 0, by: by.clone(), reason, unix_ms, of, pinned: false };
+        match word {
+            Word::Nothing => Ok(self.held.current),
+            Word::Propose { text } => {
+                self.idle()?;
+                let revision = self.revise(&text, named(None))?;
+                self.held.current = revision;
+                Ok(revision)
+            }
+            Word::RollBack { to } => {
+                let text = self.text(to).map(str::to_owned).ok_or_else(|| self.not_kept(to))?;
+                // Whatever is under way: one outcome, for all at once.
+                self.held.release = None;
+                self.held.current = self.revise(&text, named(Some(to)))?;
+                Ok(self.held.current)
+            }
+            Word::Pin { revision, on } => {
+                let missing = self.not_kept(revision);
+                let pinned = self.held.revisions.values().filter(|revision| revision.pinned).count();
+                if on && pinned >= REVISIONS / 2 {
+                    return Err(PlanError::Full(REVISIONS as u32 / 2));
+                }
+                self.held.revisions.get_mut(&revision).ok_or(missing)?.pinned = on || revision == 0;
+                Ok(revision)
+            }
+            Word::Release { text, waves } => {
+                self.idle()?;
+                self.unhalted()?;
+                let grows = waves.windows(2).all(|pair| pair[0] < pair[1]);
+                if !grows
+                    || waves.first().is_none_or(|first| *first == 0)
+                    || waves.last() != Some(&1000)
+                    || waves.len() > 20
+                {
+                    return Err(PlanError::Waves);
+                }
+                let revision = self.revise(&text, named(None))?;
+                self.held.release = Some(Release { revision, waves, wave: 1, phase: Phase::Going });
+                (self.held.stepped, self.held.waved) = (index, index);
+                Ok(revision)
+            }
+            Word::Next { revision, wave } => {
+                self.unhalted()?;
+                let release = self.under_way(revision, Phase::Going)?;
+                if wave != release.wave + 1 {
+                    return Err(PlanError::NotNext { wanted: wave, at: release.wave });
+                }
+                release.wave = wave;
+                (self.held.stepped, self.held.waved) = (index, index);
+                let release = self.under_way(revision, Phase::Going)?;
+                if wave as usize > release.waves.len() {
+                    self.held.release = None;
+                    self.held.current = revision;
+                }
+                Ok(revision)
+            }
+            Word::Halt => {
+                self.held.halted.get_or_insert(by);
+                Ok(self.held.current)
+            }
+            Word::Resume => {
+                self.held.halted = None;
+                Ok(self.held.current)
+            }
+            Word::Back => {
+                let release = self.held.release.as_mut().ok_or(PlanError::NoRelease)?;
+                release.phase = Phase::Back;
+                let revision = release.revision;
+                self.held.stepped = index;
+                Ok(revision)
+            }
+            Word::Undo { revision, wave } => {
+                let release = self.under_way(revision, Phase::Back)?;
+                if wave + 1 != release.wave {
+                    return Err(PlanError::NotNext { wanted: wave, at: release.wave });
+                }
+                release.wave = wave;
+                self.held.stepped = index;
+                if wave == 0 {
+                    self.held.release = None;
+                }
+                Ok(revision)
+            }
+            Word::Ask { what, zone, tier, for_s } => {
+                let same = |permit: &Permit| {
+                    permit.what.name() == what.name() && permit.what.server() == what.server()
+                };
+                let known = self.held.permits.iter().find(|(_, permit)| same(permit));
+                if let Some((number, permit)) = known {
+                    // A later start of a sidecar takes the place of the one before: that has come back.
+                    if permit.what == what || what.server() {
+                        return Err(PlanError::HasPermit(what.name().to_owned(), *number));
+                    }
+                    let number = *number;
+                    self.held.permits.remove(&number);
+                }
+                if self.held.permits.len() >= PERMITS {
+                    return Err(PlanError::Full(PERMITS as u32));
+                }
+                self.held.last_permit += 1;
+                let due_ms = unix_ms + u64::from(for_s) * 1000;
+                let state = PermitState::Waits;
+                let permit = Permit { what, zone, tier, by, due_ms, state, waits_for: None };
+                self.held.permits.insert(self.held.last_permit, permit);
+                Ok(self.held.last_permit)
+            }
+            Word::Grant { permit, missing, of } => {
+                self.unhalted()?;
+                let room = self.room(permit, &missing, of);
+                let once = self.parts.once;
+                let granted = self.held.permits.get_mut(&permit).ok_or(PlanError::NoPermit(permit))?;
+                if granted.state != PermitState::Waits && once {
+                    return Err(PlanError::PermitState(permit, granted.told().to_owned()));
+                }
+                if let Err(error) = room {
+                    granted.waits_for = Some(error.clone());
+                    return Err(error);
+                }
+                granted.state = PermitState::Out { since: index };
+                granted.waits_for = None;
+                Ok(permit)
+            }
+            Word::Clear { permit } => self.clear(permit, None),
+            Word::Force { permit } => self.clear(permit, Some(by)),
+            Word::Return { permit } => {
+                self.held.permits.remove(&permit).ok_or(PlanError::NoPermit(permit))?;
+                Ok(permit)
+            }
+            Word::Storm { on, turn } => {
+                if turn != self.held.storms || on == self.held.storm {
+                    return Err(PlanError::NotNext { wanted: turn, at: self.held.storms });
+                }
+                self.held.storm = on;
+                self.held.storms += 1;
+                Ok(self.held.storms)
+            }
+        }
+    }
+
+    fn idle(&self) -> Result<(), PlanError> {
+        match &self.held.release {
+            Some(release) => Err(PlanError::ReleaseGoesOn(release.revision)),
+            None => Ok(()),
+        }
+    }
+
+    fn unhalted(&self) -> Result<(), PlanError> {
+        match &self.held.halted {
+            Some(by) if self.parts.halts => Err(PlanError::Halted(by.clone())),
+            _ => Ok(()),
+        }
+    }
+
+    fn under_way(&mut self, revision: u32, phase: Phase) -> Result<&mut Release, PlanError> {
+        let release = self.held.release.as_mut();
+        release.filter(|it| it.revision == revision && it.phase == phase).ok_or(PlanError::NoRelease)
+    }
+
+    fn not_kept(&self, wanted: u32) -> PlanError {
+        let oldest = self.held.revisions.keys().next().copied().unwrap_or(0);
+        PlanError::NotKept { wanted, oldest, newest: self.held.last }
+    }
+
+    fn revise(&mut self, text: &str, revision: Revision) -> Result<u32, PlanError> {
+        Content::parse(text, "revision").map_err(|error| PlanError::Content(error.to_string()))?;
+        self.held.last += 1;
+        self.keep(self.held.last, text, revision);
+        Ok(self.held.last)
+    }
+
+    /// Keeps a revision, and lets go of the oldest that nobody needs.
+    fn keep(&mut self, number: u32, text: &str, revision: Revision) {
+        let digest = xxh3_64(text.as_bytes());
+        self.held.texts.entry(digest).or_insert_with(|| text.to_owned());
+        self.held.revisions.insert(number, Revision { digest, ..revision });
+        loop {
+            let bytes: usize = self.held.texts.values().map(String::len).sum();
+            if self.held.revisions.len() <= REVISIONS && bytes <= TEXTS {
+                break;
+            }
+            let release = self.held.release.as_ref().map(|release| release.revision);
+            let free = |(n, revision): &(&u32, &Revision)| {
+                !revision.pinned && **n != number && **n != self.held.current && Some(**n) != release
+            };
+            let Some(oldest) = self.held.revisions.iter().find(free).map(|(n, _)| *n) else { break };
+            self.held.revisions.remove(&oldest);
+            let used: BTreeSet<u64> = self.held.revisions.values().map(|revision| revision.digest).collect();
+            self.held.texts.retain(|digest, _| used.contains(digest));
+        }
+    }
+
+    /// Whether one more may be out; the leader asks the same before it says so.
+    pub fn room(&self, permit: u32, missing: &[String], of: u32) -> Result<(), PlanError> {
+        let wanted = self.held.permits.get(&permit).ok_or(PlanError::NoPermit(permit))?;
+        let kind = if wanted.what.server() { OutOf::Servers } else { OutOf::Sidecars };
+        let allowed = self.content(self.held.current).allowed(kind, &wanted.zone, wanted.tier, of);
+        let beside = |it: &&Permit| {
+            it.state != PermitState::Waits
+                && it.what.server() == wanted.what.server()
+                && (&it.zone, it.tier) == (&wanted.zone, wanted.tier)
+        };
+        let mut out: BTreeSet<&str> =
+            self.held.permits.values().filter(beside).map(|it| it.what.name()).collect();
+        // Danger: who is dead is out too; a limit that forgets them lets the rest be taken down on top.
+        if self.parts.missing {
+            out.extend(missing.iter().take(MISSING).map(String::as_str));
+        }
+        out.remove(wanted.what.name());
+        if out.len() as u32 + 1 > allowed {
+            let who = out.iter().take(8).copied().collect::<Vec<&str>>().join(", ");
+            return Err(PlanError::TooManyOut { out: out.len() as u32, allowed, who });
+        }
+        Ok(())
+    }
+
+    fn clear(&mut self, permit: u32, forced: Option<String>) -> Result<u32, PlanError> {
+        let cleared = self.held.permits.get_mut(&permit).ok_or(PlanError::NoPermit(permit))?;
+        match cleared.state {
+            PermitState::Out { since } => {
+                cleared.state = PermitState::Clear { since, forced };
+                Ok(permit)
+            }
+            _ => Err(PlanError::PermitState(permit, cleared.told().to_owned())),
+        }
+    }
+
+    /// What must hold after each word.
+    fn check(&self) {
+        let held = &self.held;
+        debug_assert!(held.revisions.contains_key(&held.current), "what is in force is kept");
+        debug_assert!(held.revisions.values().all(|revision| held.texts.contains_key(&revision.digest)));
+        debug_assert!(held.revisions.len() <= REVISIONS + 1 && held.permits.len() <= PERMITS);
+        debug_assert!(held.answers.len() <= ANSWERS);
+        let release = held.release.as_ref();
+        debug_assert!(release.is_none_or(|it| it.wave >= 1 && it.wave as usize <= it.waves.len()));
+    }
+}
+
+impl Permit {
+    /// The entry that gave it, if it was given.
+    pub fn since(&self) -> Option<u64> {
+        match self.state {
+            PermitState::Waits => None,
+            PermitState::Out { since } | PermitState::Clear { since, .. } => Some(since),
+        }
+    }
+
+    /// Its state in a word.
+    pub fn told(&self) -> &'static str {
+        match self.state {
+            PermitState::Waits => "waiting",
+            PermitState::Out { .. } => "out",
+            PermitState::Clear { forced: None, .. } => "clear",
+            PermitState::Clear { .. } => "clear, forced",
+        }
+    }
+}
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -5,7 +5,9 @@
 use crate::process::{Guard, Process};
 use crate::relay::Relay;
 use crate::standin::{Backends, hear};
-use cometcroft_script::{Act, Broken, Doing, Judge, Look, Other, Plan, Rule, Wires};
+use cometcroft_script::{
+    Act, Broken, Doing, Judge, Look, Other, Plan, PlanLook, Rule, Say, Spoken, Wires, same_plans,
+};
 use serde::Serialize;
 use serde_json::{Value, json};
 use std::io::{self, BufRead, BufReader, Write};
@@ -52,6 +54,10 @@
 /// So much later than they were admitted requests may come to a backend server on a busy machine: what the bound on their
 /// sum allows for.
 const SEEN_LATE: Duration = Duration::from_secs(1);
+/// A first byte that went out before a door told that its server is clear arrives by then.
+const ON_ITS_WAY: Duration = Duration::from_millis(300);
+/// A word's answer is waited for so long.
+const ANSWERED: Duration = Duration::from_secs(12);
 /// Requests that may be in work beyond the level: counted by another process than admits them.
 const BEYOND: u64 = 2;
 
@@ -93,6 +99,8 @@
     pub datagrams: (u64, u64, u64),
     /// The budget that they shared, if there was one.
     pub share: Option<RigShare>,
+    /// What came of operators' words.
+    pub words: Vec<String>,
     /// Rules that were broken.
     pub broken: Vec<Broken>,
     /// Processes that ended as they should not have.
@@ -142,6 +150,9 @@
 /// A change that a member's log told: when, who saw it, whom it concerns, which start, the new state.
 type Told = (Instant, usize, u32, String, u64, String);
 
+/// What came of words: when, at whose door, which, the door's answer.
+type Answers = Arc<Mutex<Vec<(Duration, usize, Spoken, Option<Value>)>>>;
+
 struct Rig<'a> {
     plan: &'a Plan,
     options: &'a Options,
@@ -159,6 +170,8 @@
     crashed: Vec<String>,
     panics: Arc<AtomicU64>,
     share: RigShare,
+    answers: Answers,
+    words: Vec<String>,
     late: u64,
     files: PathBuf,
 }
@@ -255,6 +268,8 @@
             crashed: Vec::new(),
             panics: Arc::default(),
             share: RigShare::default(),
+            answers: Arc::default(),
+            words: Vec::new(),
             late: 0,
             files,
         })
@@ -279,6 +294,7 @@
             self.look_at_processes();
             let all_equal = self.look().await;
             self.hear();
+            self.hear_answers();
             self.share();
             let lines: Vec<String> = self.seats.iter().map(|seat| seat.line.clone()).collect();
             watch(self.now(), &lines, self.outcomes());
@@ -326,11 +342,17 @@
 
     /// Holds what the backend servers received against the whole.
     fn share(&mut self) {
-        let Some(budget) = &self.plan.budget else { return };
         let arrivals =
             std::mem::take(&mut *self.backends.arrivals.lock().unwrap_or_else(PoisonError::into_inner));
+        if self.plan.keepers > 0 {
+            for (at, server) in &arrivals {
+                let at = at.saturating_duration_since(self.began);
+                self.judge.reached(at, ON_ITS_WAY, &format!("s-{server}"));
+            }
+        }
+        let Some(budget) = &self.plan.budget else { return };
         let (now, started) = (self.now(), budget.lease * 3);
-        for at in &arrivals {
+        for (at, _) in &arrivals {
             let at = at.saturating_duration_since(self.began);
             self.late += u64::from(at >= started);
             self.judge.admitted(at, SEEN_LATE);
@@ -354,6 +376,9 @@
         for (i, look) in looks.iter().filter(|(_, look)| !look.superseded) {
             self.judge.compare(at, *i, look);
         }
+        let plans: Vec<(usize, PlanLook)> =
+            looks.iter().filter_map(|(i, look)| Some((*i, look.plan.clone()?))).collect();
+        self.judge.plans(at, &plans);
     }
 
     fn act(&mut self, doing: &Doing) -> io::Result<()> {
@@ -424,10 +449,46 @@
                 }
             }
             Doing::File(i, other) => self.seats[*i].other = *other,
+            Doing::Say(i, spoken) => self.say(*i, spoken.clone()),
         }
         Ok(())
     }
 
+    /// Says a word at a door; what comes of it is heard later.
+    fn say(&mut self, i: usize, spoken: Spoken) {
+        let (ops, answers, began) = (self.seats[i].ops, self.answers.clone(), self.began);
+        tokio::spawn(async move {
+            let call = format!("/ops/plan/{}", spoken.call());
+            let text = if matches!(spoken.say, Say::Propose | Say::Release) { &spoken.text } else { "" };
+            let asked = tokio::time::timeout(ANSWERED, put(ops, "PUT", &call, text)).await;
+            let answer = asked.ok().flatten();
+            let mut answers = answers.lock().unwrap_or_else(PoisonError::into_inner);
+            answers.push((began.elapsed(), i, spoken, answer));
+        });
+    }
+
+    /// What came of words.
+    fn hear_answers(&mut self) {
+        let answers = std::mem::take(&mut *self.answers.lock().unwrap_or_else(PoisonError::into_inner));
+        for (at, i, spoken, answer) in answers {
+            let index =
+                answer.as_ref().filter(|a| a.get("taken").is_some()).and_then(|a| a.get("index")?.as_u64());
+            let founding = self.seats[i].last.as_ref().and_then(|look| Some(look.plan.as_ref()?.place.0));
+            if let (Some(index), Some(founding)) = (index, founding) {
+                self.judge.acknowledged(founding, index, spoken.say);
+            }
+            let code =
+                answer.as_ref().and_then(|a| a.get("code")).and_then(Value::as_str).unwrap_or("no answer");
+            let told = index.map_or(code.to_owned(), |index| format!("taken as {index}"));
+            self.words.push(format!(
+                "{:.2} s {} at {}: {told}",
+                at.as_secs_f64(),
+                spoken.call(),
+                self.seats[i].name
+            ));
+        }
+    }
+
     /// Sends datagrams that make no sense, from an address that is nobody's, in a thread of its own.
     fn garbage(&self, i: usize, rate: u32) -> io::Result<()> {
         let seat = &self.seats[i];
@@ -489,6 +550,10 @@
             .collect();
         let place = self.relay.place(self.seats[i].place);
         let budget = self.budget(self.seats[i].other.rate);
+        let reached = |i: usize| format!("\"{}\"", self.relay.place(self.seats[i].place).reached);
+        let keepers =
+            (0..self.plan.keepers.min(self.seats.len())).map(reached).collect::<Vec<_>>().join(", ");
+        let agreed = if keepers.is_empty() { keepers } else { format!("[plan]\nkeepers = [{keepers}]\n") };
         let seat = &mut self.seats[i];
         seat.lives += 1;
         std::fs::create_dir_all(&seat.files)?;
@@ -508,7 +573,7 @@
             seeds.join(", "),
             seat.other.longest_pause.unwrap_or(self.plan.longest_pause).as_millis(),
         );
-        std::fs::write(&operator, member + &budget)?;
+        std::fs::write(&operator, member + &budget + &agreed)?;
         let mut command = Command::new(&self.options.program);
         command
             .arg("--operator")
@@ -636,20 +701,27 @@
             .filter(|(_, seat)| seat.process.is_some() && seat.runs())
             .map(|(i, seat)| (i, seat.lives, seat.ops))
             .collect();
-        let calls: Vec<_> = asked.iter().map(|(_, _, ops)| tokio::spawn(door(*ops))).collect();
+        let plans = self.plan.keepers > 0;
+        let both = |ops| async move {
+            let fleet = put(ops, "GET", "/ops/fleet", "").await;
+            (fleet, if plans { put(ops, "GET", "/ops/plan", "").await } else { None })
+        };
+        let calls: Vec<_> = asked.iter().map(|(_, _, ops)| tokio::spawn(both(*ops))).collect();
         let mut equal = !asked.is_empty();
         for ((i, life, _), call) in asked.into_iter().zip(calls) {
-            let answer = call.await.ok().flatten();
+            let answer = call.await.ok();
             let now = self.now();
             let seat = &mut self.seats[i];
             if seat.lives != life || !seat.runs() {
                 continue;
             }
+            let (answer, agreed) = answer.unwrap_or_default();
             let Some((mut look, line, part)) = answer.as_ref().and_then(read_look) else {
                 (equal, seat.last, seat.part) = (false, None, 0.0);
                 continue;
             };
             // Whose file has another budget is answered by nobody, and is not waited for.
+            look.plan = agreed.as_ref().and_then(read_plan);
             look.answered = look.answered.filter(|_| seat.other.rate.is_none());
             (seat.last, seat.line, seat.part) = (Some(look.clone()), line, part);
             self.judge.look(now, i, &look);
@@ -659,7 +731,14 @@
         let looks: Vec<&Look> = self.seats.iter().filter_map(|s| s.last.as_ref()).collect();
         let speaking = looks.iter().filter(|look| !look.superseded);
         let answered = looks.iter().all(|look| look.answered != Some(false));
-        equal && !stopped && answered && speaking.clone().all(|look| self.judge.true_view(look).is_ok())
+        let plans: Vec<(usize, PlanLook)> =
+            looks.iter().enumerate().filter_map(|(i, look)| Some((i, look.plan.clone()?))).collect();
+        let agreed = self.plan.keepers == 0 || same_plans(&plans).is_ok();
+        equal
+            && !stopped
+            && answered
+            && agreed
+            && speaking.clone().all(|look| self.judge.true_view(look).is_ok())
     }
 
     /// What the logs have told.
@@ -732,6 +811,7 @@
             received: count(&self.backends.received),
             datagrams: (count(&passed.datagrams), count(&passed.bytes), count(&passed.lost)),
             share: self.plan.budget.as_ref().map(|_| self.share.clone()),
+            words: self.words.clone(),
             broken: self.judge.broken.clone(),
             crashed: self.crashed.clone(),
         }
@@ -759,15 +839,36 @@
     Some((text("member")?, fields.get("generation")?.as_u64()?, text("to")?))
 }
 
-/// What a door says of the fleet.
-async fn door(ops: SocketAddr) -> Option<Value> {
+/// Where a plan stands, as its door says.
+fn read_plan(value: &Value) -> Option<PlanLook> {
+    let log = value.get("log")?;
+    let number = |from: &Value, name: &str| from.get(name)?.as_u64();
+    let permits = value.get("permits")?.as_array()?;
+    let clear = |it: &&Value| it["state"].as_str().is_some_and(|state| state.starts_with("clear"));
+    let steps = permits.iter().filter_map(|it| it["since"].as_u64());
+    Some(PlanLook {
+        place: (number(log, "founded")?, number(log, "index")?),
+        sum: log.get("sum")?.as_str()?.to_owned(),
+        in_force: (number(value, "in_force_to")?, number(value, "revision")? as u32),
+        halted: !value.get("halted_by")?.is_null(),
+        steps: steps.chain(value["release"]["waved"].as_u64()).collect(),
+        clear: permits.iter().filter(clear).filter_map(|it| Some(it["name"].as_str()?.to_owned())).collect(),
+        led: !log.get("leader")?.is_null(),
+    })
+}
+
+/// Calls a door.
+async fn put(ops: SocketAddr, method: &str, call: &str, text: &str) -> Option<Value> {
     let asked = async {
         let mut stream = TcpStream::connect(ops).await.ok()?;
-        stream.write_all(b"GET /ops/fleet HTTP/1.1\r\nHost: ops\r\n\r\n").await.ok()?;
+        let length = text.len();
+        let head = format!("{method} {call} HTTP/1.1\r\nHost: ops\r\nContent-Length: {length}\r\n\r\n{text}");
+        stream.write_all(head.as_bytes()).await.ok()?;
         let answer = hear(&mut stream, &mut Vec::new()).await.ok()??;
         serde_json::from_str(answer.split("\r\n\r\n").nth(1)?).ok()
     };
-    tokio::time::timeout(PATIENCE, asked).await.ok().flatten()
+    let patience = if method == "GET" { PATIENCE } else { ANSWERED };
+    tokio::time::timeout(patience, asked).await.ok().flatten()
 }
 
 fn read_look(value: &Value) -> Option<(Look, String, f64)> {
@@ -792,6 +893,7 @@
         reached: number("reached")? as usize,
         known: number("known")? as usize,
         superseded: flag("superseded"),
+        plan: None,
         answered: value.get("budgets").and_then(|budgets| budgets.get("answered")?.as_bool()),
     };
     let [alive, suspect, gone, left] = states;
--- a/crates/rig/src/standin.rs
+++ b/crates/rig/src/standin.rs
@@ -73,8 +73,8 @@
     pub discovery: SocketAddr,
     /// Requests that the backend servers received.
     pub received: Arc<AtomicU64>,
-    /// When each of them came, since they were taken from here.
-    pub arrivals: Arc<Mutex<Vec<Instant>>>,
+    /// When each of them came and to which server, since they were taken from here.
+    pub arrivals: Arc<Mutex<Vec<(Instant, usize)>>>,
     /// Requests in work now, and the most that ever were at once.
     pub open: Arc<Open>,
 }
@@ -98,7 +98,7 @@
     /// So many backend servers, each of which takes this long for a request.
     pub async fn start(ip: Ipv4Addr, count: usize, zones: &[String], work: Duration) -> io::Result<Backends> {
         let received = Arc::new(AtomicU64::new(0));
-        let (arrivals, open) = (Arc::<Mutex<Vec<Instant>>>::default(), Arc::<Open>::default());
+        let (arrivals, open) = (Arc::<Mutex<Vec<(Instant, usize)>>>::default(), Arc::<Open>::default());
         let mut rows = Vec::new();
         for i in 0..count {
             let counted = (received.clone(), arrivals.clone(), open.clone());
@@ -109,7 +109,7 @@
                         return r#"{"inflight":1,"queue":0}"#.to_owned();
                     }
                     counted.fetch_add(1, Ordering::Relaxed);
-                    arrivals.lock().unwrap_or_else(PoisonError::into_inner).push(Instant::now());
+                    arrivals.lock().unwrap_or_else(PoisonError::into_inner).push((Instant::now(), i));
                     open.begin();
                     tokio::time::sleep(work).await;
                     // It is over before anybody can know.
--- a/crates/script/src/file.rs
+++ b/crates/script/src/file.rs
@@ -32,6 +32,76 @@
     /// A budget that the members share.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub budget: Option<BudgetSection>,
+    /// A plan that the members agree on.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub plan: Option<PlanSection>,
+}
+
+/// A plan that the members agree on.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PlanSection {
+    /// So many of the first members are keepers: 3, 5 or 7.
+    pub keepers: usize,
+}
+
+/// What an operator says.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Say {
+    /// The log begins anew.
+    Refound,
+    /// A new revision for all.
+    Propose,
+    /// A past one put back.
+    Rollback,
+    /// A new one in waves.
+    Release,
+    /// No permit and no wave from here on.
+    Halt,
+    /// The end of that.
+    Resume,
+    /// The way back.
+    Back,
+    /// A backend server is to be drained.
+    Drain,
+    /// The door's own sidecar wants to restart.
+    Restart,
+    /// A permit is given back.
+    Return,
+    /// A permit counts as clear.
+    Force,
+}
+
+/// `[[word]]`: an operator's word at a door.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct WordSection {
+    /// What.
+    pub say: Say,
+    /// When.
+    pub at: Time,
+    /// At whose door: a name, or drawn.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub door: Option<String>,
+    /// How often, at doors drawn anew ...
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub times: Option<Span>,
+    /// ... and so long one after another.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub every: Option<Time>,
+    /// A revision's text, to which the word's number is added.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub text: String,
+    /// A revision, or a permit.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub number: Option<u32>,
+    /// A backend server.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub server: String,
+    /// Shares in thousandths.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub waves: Vec<u16>,
 }
 
 /// A rate and a level that the members share, and their need of it.
@@ -91,6 +161,7 @@
             old: Span(0.0, 0.0),
             seed: None,
             budget: None,
+            plan: None,
         }
     }
 }
@@ -203,6 +274,9 @@
     /// What goes wrong.
     #[serde(rename = "fault", default)]
     pub faults: Vec<Fault>,
+    /// What operators say.
+    #[serde(rename = "word", default, skip_serializing_if = "Vec::is_empty")]
+    pub words: Vec<WordSection>,
     /// The lines on which the faults stand.
     #[serde(skip)]
     pub lines: Vec<usize>,
@@ -261,6 +335,20 @@
     "budget-gone-and-back",
     "budget-twin",
     "budget-evening",
+    "plan-calm",
+    "plan-leader-killed",
+    "plan-leader-paused",
+    "plan-keepers-in-turn",
+    "plan-keepers-lost",
+    "plan-split",
+    "plan-one-way",
+    "plan-lossy",
+    "plan-late-words",
+    "plan-drain-cut-off",
+    "plan-release-halted",
+    "plan-two-operators",
+    "plan-restarts-by-permit",
+    "plan-evening",
 ];
 
 impl Script {
@@ -312,6 +400,12 @@
                 return Err((None, "rate", "rate, burst and level must be over 0"));
             }
         }
+        if !self.words.is_empty() && fleet.plan.is_none() {
+            return Err((None, "plan", "words need a [fleet.plan]"));
+        }
+        if fleet.plan.as_ref().is_some_and(|plan| ![3, 5, 7].contains(&plan.keepers)) {
+            return Err((None, "keepers", "must be 3, 5 or 7"));
+        }
         for (i, fault) in self.faults.iter().enumerate() {
             use Kind::*;
             let kind = fault.kind;
--- a/crates/script/src/judge.rs
+++ b/crates/script/src/judge.rs
@@ -1,5 +1,6 @@
 //! The judge of a fleet: it knows what was done to whom, hears what each member says of its view, and holds the rules.
 
+use crate::file::Say;
 use crate::plan::{Doing, MemberPlan, Plan};
 use serde::Serialize;
 use std::collections::BTreeMap;
@@ -30,6 +31,18 @@
     OverAdmitted,
     /// Long after the last fault no divider answers a member.
     Undivided,
+    /// Two contents under one number of the log.
+    TwoOrders,
+    /// A process went back to an older place in the log.
+    WayBack,
+    /// A word that a door acknowledged is gone, with no founding since.
+    LostWord,
+    /// After a halt was taken a permit was given or a wave begun.
+    Halted,
+    /// A backend server got a request after it was said to be clear.
+    NotClear,
+    /// Long after the last fault the plan is not in force everywhere, or nobody can agree.
+    PlansDiffer,
 }
 
 /// A broken rule.
@@ -55,6 +68,31 @@
     }
 }
 
+/// Whether all plans stand at one place, in force, and somebody leads; else what is wrong.
+pub fn same_plans(looks: &[(usize, PlanLook)]) -> Result<(), String> {
+    let Some((_, first)) = looks.first() else { return Ok(()) };
+    if first.place.0 == 0 {
+        return Err("it was never founded".to_owned());
+    }
+    if let Some((i, other)) =
+        looks.iter().find(|(_, look)| look.place != first.place || look.sum != first.sum)
+    {
+        return Err(format!("member {} stands at {:?}, another at {:?}", i + 1, other.place, first.place));
+    }
+    if let Some((i, other)) = looks.iter().find(|(_, look)| look.in_force.0 != look.place.1) {
+        return Err(format!(
+            "member {} has {:?} in force, the log ends at {:?}",
+            i + 1,
+            other.in_force,
+            other.place
+        ));
+    }
+    if !looks.iter().any(|(_, look)| look.led) {
+        return Err("no keeper knows a leader".to_owned());
+    }
+    Ok(())
+}
+
 fn serde_name(rule: Rule) -> &'static str {
     match rule {
         Rule::AliveCalledGone => "alive-called-gone",
@@ -67,6 +105,12 @@
         Rule::OverWhole => "over-whole",
         Rule::OverAdmitted => "over-admitted",
         Rule::Undivided => "undivided",
+        Rule::TwoOrders => "two-orders",
+        Rule::WayBack => "way-back",
+        Rule::LostWord => "lost-word",
+        Rule::Halted => "halted",
+        Rule::NotClear => "not-clear",
+        Rule::PlansDiffer => "plans-differ",
     }
 }
 
@@ -87,6 +131,27 @@
     pub superseded: bool,
     /// Whether a divider answers it, if a budget is shared.
     pub answered: Option<bool>,
+    /// Where its plan stands, if there is one.
+    pub plan: Option<PlanLook>,
+}
+
+/// Where a member's plan stands.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct PlanLook {
+    /// The founding, and the last entry.
+    pub place: (u64, u64),
+    /// The checksum of all up to it.
+    pub sum: String,
+    /// The entry up to which it is in force, and the revision.
+    pub in_force: (u64, u32),
+    /// The entry of a halt that binds, as the member's own log had it first, if any.
+    pub halted: bool,
+    /// The entries at which permits that stand were given and the release made its last step.
+    pub steps: Vec<u64>,
+    /// Backend servers that are clear.
+    pub clear: Vec<String>,
+    /// A leader is known to it, as a keeper.
+    pub led: bool,
 }
 
 #[derive(Debug, Clone, Default)]
@@ -106,6 +171,19 @@
     held: Vec<(u32, Duration)>,
 }
 
+/// What the judge knows of the plan.
+#[derive(Debug, Default)]
+struct Agreed {
+    order: BTreeMap<(u64, u64), String>,
+    furthest: Vec<(u64, u64)>,
+    /// Acknowledged: at which founding, which entry.
+    words: Vec<(u64, u64)>,
+    /// Halts that were taken and not lifted since: the entry.
+    halt: Option<u64>,
+    /// Since when a backend server has been clear, as a door told first, and where that door stood.
+    clear: BTreeMap<String, (Duration, (u64, u64))>,
+}
+
 /// The judge.
 pub struct Judge {
     plan: Plan,
@@ -116,6 +194,7 @@
     line: usize,
     /// How much more time everything may take than by the protocol: 1 on the virtual clock.
     slack: f64,
+    agreed: Agreed,
     /// What was admitted of the rate and has not drained yet, and since when.
     admitted: (f64, Duration),
     /// What was broken, each rule once an observer.
@@ -134,6 +213,7 @@
             seen,
             line: 0,
             slack,
+            agreed: Agreed { furthest: vec![(0, 0); n], ..Agreed::default() },
             admitted: (0.0, Duration::ZERO),
             broken: Vec::new(),
         }
@@ -157,6 +237,7 @@
                 self.lives[*i] = Life { since: at, alive: true, ..Life::default() };
                 // A new process knows nothing of what the one before counted.
                 self.seen[*i] = Seen::default();
+                self.agreed.furthest[*i] = (0, 0);
             }
             Doing::Stop(i) => self.lives[*i].stopped = true,
             Doing::GoOn(i) => self.lives[*i].stopped = false,
@@ -165,7 +246,11 @@
                 self.lives[*i].left = Some(at);
             }
             Doing::File(i, other) => self.other[*i] = other.rate.is_some(),
-            Doing::Wire(..) | Doing::Garbage(..) | Doing::Busy(..) | Doing::Descriptors(..) => {}
+            Doing::Say(..)
+            | Doing::Wire(..)
+            | Doing::Garbage(..)
+            | Doing::Busy(..)
+            | Doing::Descriptors(..) => {}
         }
     }
 
@@ -216,6 +301,73 @@
         }
     }
 
+    /// A door has acknowledged a word as this entry of the log.
+    pub fn acknowledged(&mut self, founding: u64, index: u64, say: Say) {
+        self.agreed.words.push((founding, index));
+        match say {
+            Say::Halt => self.agreed.halt = Some(self.agreed.halt.map_or(index, |at| at.min(index))),
+            Say::Resume => self.agreed.halt = None,
+            _ => {}
+        }
+    }
+
+    /// A backend server got a request that was sent at this time or after. `late`: so much longer it may have been on its way.
+    pub fn reached(&mut self, at: Duration, late: Duration, server: &str) {
+        let clear = self.agreed.clear.get(server).copied();
+        if let Some((since, _)) = clear.filter(|(since, _)| at > *since + late) {
+            let what = format!("{server} got a request {:?} after it was clear", at - since);
+            self.breaks(Rule::NotClear, at, 0, what);
+        }
+    }
+
+    /// A member says where its plan stands.
+    fn look_at_plan(&mut self, at: Duration, member: usize, look: &PlanLook) {
+        let had = self.agreed.order.entry(look.place).or_insert_with(|| look.sum.clone());
+        if *had != look.sum {
+            let what = format!("{:?} is {} here and was {had}", look.place, look.sum);
+            self.breaks(Rule::TwoOrders, at, member, what);
+        }
+        let furthest = std::mem::replace(&mut self.agreed.furthest[member], look.place);
+        if furthest > look.place {
+            let what = format!("at {:?} after {furthest:?}", look.place);
+            self.breaks(Rule::WayBack, at, member, what);
+        }
+        if let Some(halt) = self.agreed.halt.filter(|_| look.halted)
+            && let Some(step) = look.steps.iter().find(|step| **step > halt)
+        {
+            let what = format!("entry {step} gave a permit or began a wave after the halt at {halt}");
+            self.breaks(Rule::Halted, at, member, what);
+        }
+        self.agreed.clear.retain(|server, (_, place)| look.clear.contains(server) || look.place <= *place);
+        for server in &look.clear {
+            self.agreed.clear.entry(server.clone()).or_insert((at, look.place));
+        }
+    }
+
+    /// Long after the last fault: all are at one place and have it in force, and no acknowledged word is gone.
+    pub fn plans(&mut self, at: Duration, looks: &[(usize, PlanLook)]) {
+        if self.plan.keepers == 0 {
+            return;
+        }
+        if let Err(what) = same_plans(looks) {
+            self.breaks(Rule::PlansDiffer, at, looks.first().map_or(0, |(i, _)| *i), what);
+        }
+        let words = std::mem::take(&mut self.agreed.words);
+        for (i, look) in looks {
+            let lost =
+                words.iter().find(|(founding, index)| *founding == look.place.0 && *index > look.place.1);
+            if let Some((_, index)) = lost {
+                self.breaks(
+                    Rule::LostWord,
+                    at,
+                    *i,
+                    format!("entry {index} was acknowledged, the log ends at {:?}", look.place),
+                );
+            }
+        }
+        self.agreed.words = words;
+    }
+
     /// A member's generation has become known.
     pub fn known(&mut self, member: usize, generation: u64) {
         self.lives[member].generation = Some(generation);
@@ -249,6 +401,9 @@
     pub fn look(&mut self, at: Duration, observer: usize, look: &Look) {
         self.known(observer, look.generation);
         let harmed = self.plan.harmed(observer, at);
+        if let Some(plan) = &look.plan {
+            self.look_at_plan(at, observer, plan);
+        }
         self.look_at_starts(at, observer, look);
         self.look_at_count(at, observer, look);
         let bound = self.bound();
--- a/crates/script/src/lib.rs
+++ b/crates/script/src/lib.rs
@@ -7,6 +7,6 @@
 mod judge;
 mod plan;
 
-pub use file::{BudgetSection, Fault, FleetSection, Kind, SHIPPED, Script};
-pub use judge::{Broken, Judge, Look, Rule};
-pub use plan::{Act, BudgetPlan, Doing, MemberPlan, Other, Plan, Wire, Wires};
+pub use file::{BudgetSection, Fault, FleetSection, Kind, PlanSection, SHIPPED, Say, Script, WordSection};
+pub use judge::{Broken, Judge, Look, PlanLook, Rule, same_plans};
+pub use plan::{Act, BudgetPlan, Doing, MemberPlan, Other, Plan, Spoken, Wire, Wires};
--- a/crates/script/src/plan.rs
+++ b/crates/script/src/plan.rs
@@ -1,7 +1,7 @@
 //! A plan: one draw from a script under a seed. Acts at their instants, which the emulator and the rig both can do, and
 //! whom each fault may harm.
 
-use crate::file::{Fault, Kind, Script};
+use crate::file::{Fault, Kind, Say, Script, WordSection};
 use std::time::Duration;
 
 /// What becomes of what one member sends another.
@@ -91,6 +91,48 @@
     Descriptors(usize, u32),
     /// Its next start has another file.
     File(usize, Other),
+    /// A word is said at its door.
+    Say(usize, Spoken),
+}
+
+/// A word at a door.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Spoken {
+    /// What.
+    pub say: Say,
+    /// Its number, which it keeps however often it is said.
+    pub id: u64,
+    /// A revision's text.
+    pub text: String,
+    /// A revision, or a permit.
+    pub number: u32,
+    /// A backend server.
+    pub server: String,
+    /// Shares in thousandths.
+    pub waves: Vec<u16>,
+}
+
+impl Spoken {
+    /// The door's call: what follows `/ops/plan/`.
+    pub fn call(&self) -> String {
+        let Spoken { id, number, server, .. } = self;
+        match self.say {
+            Say::Refound => "refound".to_owned(),
+            Say::Propose => format!("propose?id={id}"),
+            Say::Rollback => format!("rollback?id={id}&to={number}"),
+            Say::Release => {
+                let waves: Vec<String> = self.waves.iter().map(u16::to_string).collect();
+                format!("release?id={id}&waves={}", waves.join(","))
+            }
+            Say::Halt => format!("halt?id={id}"),
+            Say::Resume => format!("resume?id={id}"),
+            Say::Back => format!("back?id={id}"),
+            Say::Drain => format!("drain?id={id}&server={server}"),
+            Say::Restart => format!("restart?id={id}"),
+            Say::Return => format!("return?id={id}&permit={number}"),
+            Say::Force => format!("force?id={id}&permit={number}"),
+        }
+    }
 }
 
 /// What is other in a file.
@@ -201,6 +243,8 @@
     pub old: usize,
     /// What the members share, if anything.
     pub budget: Option<BudgetPlan>,
+    /// So many of the first members are keepers of a plan; 0 for no plan.
+    pub keepers: usize,
 }
 
 /// Bytes a second from one member to another that are enough for all that members say.
@@ -263,6 +307,7 @@
             load: span(&mut rng, fleet.load),
             old: (span(&mut rng, fleet.old) * first as f64).round() as usize,
             budget,
+            keepers: fleet.plan.as_ref().map_or(0, |plan| plan.keepers),
         };
         let mut draw = Draw { script, rng, plan, spent: Vec::new(), pauses: Vec::new() };
         for i in 0..first {
@@ -283,6 +328,9 @@
                 };
             }
         }
+        for (i, word) in script.words.iter().enumerate() {
+            draw.word(i, word);
+        }
         draw.judge_pauses();
         let mut plan = draw.plan;
         plan.acts.sort_by_key(|act| act.at);
@@ -349,7 +397,10 @@
                 if free.is_empty() { Vec::new() } else { vec![free[self.rng.usize(..free.len())]] }
             }
             "seeds" => (0..self.plan.seeds).collect(),
-            "keepers" => (0..self.plan.budget.as_ref().map_or(0, |budget| budget.keepers)).collect(),
+            "keepers" => {
+                let keepers = self.plan.budget.as_ref().map_or(self.plan.keepers, |budget| budget.keepers);
+                (0..keepers).collect()
+            }
             word => match word.strip_prefix("zone:") {
                 Some(zone) => {
                     let zone = self.plan.zones.iter().position(|z| z == zone);
@@ -360,6 +411,27 @@
         }
     }
 
+    /// Draws a word, as often as it is said.
+    fn word(&mut self, number: usize, word: &WordSection) {
+        let times = word.times.map_or(1, |t| span(&mut self.rng, t).round() as usize);
+        let mut at = time(&mut self.rng, word.at);
+        for turn in 0..times {
+            let named = word.door.as_deref().and_then(|door| self.named(door));
+            let door = named.unwrap_or_else(|| self.rng.usize(..self.plan.first));
+            let id = 1 + self.rng.u64(..u64::MAX - 1);
+            let spoken = Spoken {
+                say: word.say,
+                id,
+                text: format!("version = 1\n{}\n# {number} {turn} of {}\n", word.text.trim(), self.plan.seed),
+                number: word.number.unwrap_or(0),
+                server: word.server.clone(),
+                waves: word.waves.clone(),
+            };
+            self.act(at, Doing::Say(door, spoken), 0);
+            at += word.every.map_or(Duration::from_secs(1), |t| time(&mut self.rng, t));
+        }
+    }
+
     /// Draws one coming of a fault; when it ends.
     fn fault(&mut self, number: usize, fault: &Fault, at: Duration) -> Duration {
         let line = self.script.lines.get(number).copied().unwrap_or(0);
--- /dev/null
+++ b/crates/sidecar/src/accord.rs
@@ -0,0 +1,647 @@
+//! The fleet's plan at this sidecar: the driver of [`Log`] and [`Plan`] on a [`Platform`]. Its messages come and go by the
+//! fleet's socket. What is agreed reaches the module as settings and edits of the list; who owns what is in force says
+//! when it is.
+
+use crate::http::server::Request;
+use cometcroft::Settings;
+use cometcroft_consensus::{Config, ConsensusError, Log, Status, Time};
+use cometcroft_membership::{Membership, Record};
+use cometcroft_plan::{
+    Answer, Content, Happened, Id, PermitState, Plan, PlanError, Presence, Said, Standing, Steward, Throttle,
+    Tried, Verdict, Wanted, What, Word,
+};
+use cometcroft_platform::Platform;
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use thiserror::Error;
+use tokio::sync::Notify;
+
+/// The keepers are told where this one stands so often at least.
+const TELL: Duration = Duration::from_secs(1);
+/// What only the leader says is thought of so often.
+const STEWARD: Duration = Duration::from_millis(100);
+/// Peers are looked up anew so often, and whoever was not heard of for so long stands nowhere.
+const MEET: Duration = Duration::from_millis(500);
+const HEARD: Duration = Duration::from_secs(4);
+/// An operator waits for an answer for so long, and for a founding's.
+const ANSWER: Duration = Duration::from_secs(5);
+const FOUNDED: Duration = Duration::from_secs(8);
+
+/// What hears of events worth a line in the log.
+pub type Listener = Box<dyn Fn(AccordEvent)>;
+
+/// Something worth a line in the log.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum AccordEvent {
+    /// This revision is in force here, up to this entry of the log.
+    InForce {
+        /// Which.
+        revision: u32,
+        /// The entry.
+        index: u64,
+    },
+    /// It serves by its file, as no plan was heard of in time.
+    ByFile,
+    /// Retries storm, or no longer do.
+    Storm(bool),
+}
+
+/// What a sidecar is given for its part in the plan.
+pub struct AccordParts {
+    /// What it is told of the log.
+    pub config: Config,
+    /// A process that starts waits for the plan for so long before it takes clients.
+    pub wait: Duration,
+    /// Hears of events.
+    pub listener: Listener,
+}
+
+/// Why a word was not taken, or is not known to be.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum Failure {
+    /// The log's reason.
+    #[error(transparent)]
+    Log(#[from] ConsensusError),
+    /// The plan's.
+    #[error(transparent)]
+    Plan(#[from] PlanError),
+}
+
+impl Failure {
+    /// A code that stays.
+    pub fn code(&self) -> &'static str {
+        match self {
+            Failure::Log(error) => error.code(),
+            Failure::Plan(error) => error.code(),
+        }
+    }
+
+    /// For an operator: what is wrong, and what can be done.
+    pub fn json(&self) -> Value {
+        let remedy = match self {
+            Failure::Log(error) => error.remedy(),
+            Failure::Plan(error) => error.remedy(),
+        };
+        json!({"code": self.code(), "text": self.to_string(), "do": remedy})
+    }
+
+    /// Whether the word may have been taken all the same.
+    pub fn unknown(&self) -> bool {
+        matches!(self, Failure::Log(ConsensusError::Unknown(_)))
+    }
+}
+
+/// What one sidecar tells the keepers of itself.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+struct Told {
+    name: String,
+    generation: u64,
+    index: u64,
+    revision: u32,
+    ready: bool,
+    tries: (u64, u64),
+}
+
+struct Heard {
+    at: Time,
+    told: Told,
+}
+
+/// Backend servers as a door's own list has them: name, zone, group, and whether it is ready.
+pub type Listed = Vec<(String, String, usize, bool)>;
+
+/// The plan at this sidecar.
+pub struct Accord<P: Platform> {
+    platform: P,
+    origin: Instant,
+    log: RefCell<Log<Plan>>,
+    steward: RefCell<Steward>,
+    throttle: RefCell<Throttle>,
+    listener: Listener,
+    name: String,
+    generation: u64,
+    zone: String,
+    tier: u8,
+    wait: Duration,
+    /// The entry up to which it is in force here, and the one that was told of last.
+    in_force: Cell<u64>,
+    noticed: Cell<u64>,
+    revision: Cell<u32>,
+    storm: Cell<bool>,
+    /// Something is to be said or told.
+    pub(crate) wake: Notify,
+    applied: Notify,
+    next_tell: Cell<Time>,
+    next_meet: Cell<Time>,
+    next_steward: Cell<Time>,
+    /// What the leader said last, and when: it is not said again before it can have been agreed on.
+    said: Cell<(u64, Time)>,
+    heard: RefCell<BTreeMap<String, Heard>>,
+    standing: RefCell<Vec<Standing>>,
+    ready: RefCell<Option<Box<dyn Fn() -> bool>>>,
+    barred: Cell<u64>,
+    sent: Cell<u64>,
+    rng: RefCell<fastrand::Rng>,
+}
+
+impl<P: Platform> Accord<P> {
+    /// The plan at a sidecar that starts now, as this member.
+    pub fn new(platform: P, parts: AccordParts, me: &Record, seed: u64) -> Rc<Accord<P>> {
+        let AccordParts { config, wait, listener } = parts;
+        let generation = me.generation;
+        let log = Log::new(config, Time::ZERO, generation, seed);
+        Rc::new(Accord {
+            origin: platform.now(),
+            log: RefCell::new(log),
+            steward: RefCell::default(),
+            throttle: RefCell::new(Throttle::new(Rc::new(Content::plain()), Time::ZERO)),
+            listener,
+            name: me.name.to_string(),
+            generation,
+            zone: me.zone.to_string(),
+            tier: me.tier,
+            wait,
+            in_force: Cell::new(0),
+            noticed: Cell::new(0),
+            revision: Cell::new(0),
+            storm: Cell::new(false),
+            wake: Notify::new(),
+            applied: Notify::new(),
+            next_tell: Cell::new(Time::ZERO),
+            next_meet: Cell::new(Time::ZERO),
+            next_steward: Cell::new(Time::ZERO),
+            said: Cell::new((0, Time::ZERO)),
+            heard: RefCell::default(),
+            standing: RefCell::default(),
+            ready: RefCell::new(None),
+            barred: Cell::new(0),
+            sent: Cell::new(0),
+            rng: RefCell::new(fastrand::Rng::with_seed(seed ^ 0x5eed)),
+            platform,
+        })
+    }
+
+    fn now(&self) -> Time {
+        self.platform.since(self.origin)
+    }
+
+    /// Tells whether this sidecar takes clients.
+    pub fn ready_by(&self, ready: impl Fn() -> bool + 'static) {
+        self.ready.replace(Some(Box::new(ready)));
+    }
+
+    pub(crate) fn next_at(&self) -> Instant {
+        let own = self.next_tell.get().min(self.next_meet.get());
+        let log = self.log.borrow();
+        let own = if log.leads(self.now()) { own.min(self.next_steward.get()) } else { own };
+        self.origin + log.next_at().min(own)
+    }
+
+    pub(crate) fn tick(&self, members: &Membership) {
+        let now = self.now();
+        if now >= self.next_meet.get() {
+            self.next_meet.set(now + MEET);
+            self.meet(members, now);
+        }
+        self.log.borrow_mut().tick(now);
+        if now >= self.next_tell.get() {
+            self.tell(now);
+        }
+        if now >= self.next_steward.get() {
+            self.next_steward.set(now + STEWARD);
+            self.lead(now);
+        }
+    }
+
+    pub(crate) fn receive(&self, bytes: &[u8]) {
+        self.log.borrow_mut().receive(self.now(), bytes);
+        loop {
+            let aside = self.log.borrow_mut().hear_aside();
+            let Some((_, bytes)) = aside else { break };
+            if let Ok(told) = postcard::from_bytes::<Told>(&bytes) {
+                self.heard(told);
+            }
+        }
+    }
+
+    fn heard(&self, told: Told) {
+        let at = self.now();
+        self.steward.borrow_mut().counted(&told.name, told.tries);
+        let mut heard = self.heard.borrow_mut();
+        let known = heard.get(&told.name);
+        // Danger: a late word of an older start, or an older word of this one, must not stand for the present.
+        let older = known
+            .is_some_and(|known| (told.generation, told.index) < (known.told.generation, known.told.index));
+        if !older && (known.is_some() || heard.len() < 100_000) {
+            heard.insert(told.name.clone(), Heard { at, told });
+        }
+    }
+
+    pub(crate) fn output(&self) -> Option<(SocketAddrV4, Vec<u8>)> {
+        let output = self.log.borrow_mut().output();
+        self.sent.set(self.sent.get() + output.as_ref().map_or(0, |(_, bytes)| bytes.len() as u64));
+        output
+    }
+
+    /// Whether something was agreed that is not in force here yet.
+    pub(crate) fn news(&self) -> bool {
+        let index = self.log.borrow().place().index;
+        let news = index != self.noticed.replace(index);
+        if news {
+            self.applied.notify_waiters();
+        }
+        news
+    }
+
+    /// Whom the log may ask and tell, and who stands where, as this one's view of the fleet has it.
+    fn meet(&self, members: &Membership, now: Time) {
+        let report = members.report();
+        let mut peers = Vec::new();
+        let mut standing = vec![self.standing_of_own()];
+        let heard = self.heard.borrow();
+        for row in &report.members {
+            let presence = match row.state {
+                "alive" | "suspect" => Presence::There,
+                "left" => Presence::Left,
+                _ => Presence::Gone,
+            };
+            if presence == Presence::There
+                && let Ok(address) = row.address.parse()
+            {
+                peers.push((address, row.zone == self.zone));
+            }
+            let known = heard.get(&row.name).filter(|known| known.told.generation == row.generation);
+            standing.push(Standing {
+                name: row.name.clone(),
+                generation: row.generation,
+                zone: row.zone.clone(),
+                tier: row.tier,
+                presence,
+                index: known.map_or(0, |known| known.told.index),
+                ready: known.is_some_and(|known| known.told.ready && known.at + HEARD > now),
+            });
+        }
+        self.standing.replace(standing);
+        self.log.borrow_mut().meet(peers);
+    }
+
+    fn standing_of_own(&self) -> Standing {
+        Standing {
+            name: self.name.clone(),
+            generation: self.generation,
+            zone: self.zone.clone(),
+            tier: self.tier,
+            presence: Presence::There,
+            index: self.in_force.get(),
+            ready: self.is_ready(),
+        }
+    }
+
+    fn is_ready(&self) -> bool {
+        self.ready.borrow().as_ref().is_none_or(|ready| ready())
+    }
+
+    fn tell(&self, now: Time) {
+        self.next_tell.set(now + TELL.mul_f64(0.8 + 0.4 * self.rng.borrow_mut().f64()));
+        let told = Told {
+            name: self.name.clone(),
+            generation: self.generation,
+            index: self.in_force.get(),
+            revision: self.revision.get(),
+            ready: self.is_ready(),
+            tries: self.throttle.borrow_mut().tries(),
+        };
+        let bytes = postcard::to_stdvec(&told).unwrap_or_default();
+        self.log.borrow_mut().aside(&bytes);
+        if self.log.borrow().config().place().is_some() {
+            self.heard(told);
+        }
+    }
+
+    /// What only the leader says.
+    fn lead(&self, now: Time) {
+        if !self.log.borrow().leads(now) {
+            return;
+        }
+        {
+            let heard = self.heard.borrow();
+            for it in self.standing.borrow_mut().iter_mut() {
+                if it.name == self.name {
+                    *it = self.standing_of_own();
+                } else if let Some(known) = heard.get(&it.name).filter(|h| h.told.generation == it.generation)
+                {
+                    (it.index, it.ready) = (known.told.index, known.told.ready && known.at + HEARD > now);
+                }
+            }
+        }
+        let mut log = self.log.borrow_mut();
+        let word = self.steward.borrow_mut().word(log.machine(), now, &self.standing.borrow());
+        let Some(word) = word else { return };
+        let id = Steward::id(&word, log.place().index);
+        let (last, at) = self.said.get();
+        if last == id.0 && now < at + TELL {
+            return;
+        }
+        self.said.set((id.0, now));
+        let said = Said {
+            id,
+            by: self.name.clone(),
+            reason: "the leader's own".to_owned(),
+            unix_ms: self.platform.unix().as_millis() as u64,
+            expects: None,
+            word,
+        };
+        // One that can't be said now is thought of again.
+        let _ = log.say(now, said.bytes(), now + TELL);
+    }
+
+    /// Says a word and waits for what comes of it.
+    pub async fn say(
+        &self,
+        word: Word,
+        reason: &str,
+        expects: Option<u32>,
+        id: Option<u64>,
+    ) -> Result<Answer, Failure> {
+        let id = Id(id.unwrap_or_else(|| self.rng.borrow_mut().u64(1..)));
+        let said = Said {
+            id,
+            by: self.name.clone(),
+            reason: reason.chars().take(200).collect(),
+            unix_ms: self.platform.unix().as_millis() as u64,
+            expects,
+            word,
+        };
+        let until = self.platform.now() + ANSWER;
+        let now = self.now();
+        if self.log.borrow().machine().answer(id).is_none() {
+            self.log.borrow_mut().say(now, said.bytes(), now + ANSWER)?;
+            self.wake.notify_one();
+        }
+        loop {
+            let applied = self.applied.notified();
+            if let Some(answer) = self.log.borrow().machine().answer(id) {
+                return match answer {
+                    Answer::Refused(error) => Err(error.clone().into()),
+                    taken => Ok(taken.clone()),
+                };
+            }
+            if self.platform.timeout_at(until, applied).await.is_err() {
+                return Err(ConsensusError::Unknown(ANSWER).into());
+            }
+        }
+    }
+
+    /// Begins the log anew, from the newest copy that is reached.
+    pub async fn found(&self) -> Result<u64, Failure> {
+        self.log.borrow_mut().found(self.now())?;
+        self.wake.notify_one();
+        let until = self.platform.now() + FOUNDED;
+        while self.platform.now() < until {
+            self.platform.sleep(Duration::from_millis(20)).await;
+            if let Some(founded) = self.log.borrow_mut().founding() {
+                return Ok(founded?.index);
+            }
+        }
+        Err(ConsensusError::Unknown(FOUNDED).into())
+    }
+
+    /// Bytes that it has sent.
+    pub fn sent(&self) -> u64 {
+        self.sent.get()
+    }
+
+    /// Whether it knows, as a keeper, who leads.
+    pub fn led(&self) -> bool {
+        self.log.borrow().leader(self.now()).is_some()
+    }
+
+    /// The tier of this sidecar, and so of the backend servers that it sends to.
+    pub fn tier(&self) -> u8 {
+        self.tier
+    }
+
+    /// This sidecar as what a permit is for: itself, its zone and its tier.
+    pub fn own(&self) -> (What, String, u8) {
+        let what = What::Sidecar { name: self.name.clone(), generation: self.generation };
+        (what, self.zone.clone(), self.tier)
+    }
+
+    /// Waits until a plan is known, or not any longer.
+    pub async fn first(&self) {
+        let until = self.platform.now() + self.wait;
+        while self.log.borrow().place().index == 0 {
+            if self.platform.timeout_at(until, self.applied.notified()).await.is_err() {
+                (self.listener)(AccordEvent::ByFile);
+                return;
+            }
+        }
+    }
+
+    /// The revision that this sidecar goes by, with its number.
+    pub fn content(&self) -> (u32, Rc<Content>) {
+        let log = self.log.borrow();
+        let revision = log.machine().in_force(&self.name);
+        (revision, log.machine().content(revision))
+    }
+
+    /// Puts what the revision allows into settings: never more than they allow themselves.
+    pub(crate) fn settle(&self, settings: &mut Settings) {
+        let (_, content) = self.content();
+        if let Some(attempts) = content.attempts {
+            settings.limits.max_attempts = settings.limits.max_attempts.min(attempts);
+        }
+    }
+
+    /// What becomes of a backend server by the plan.
+    pub fn verdict(&self, name: &str, zone: &str, group: usize) -> Verdict {
+        let log = self.log.borrow();
+        let plan = log.machine();
+        if plan.barred().contains(name) {
+            return Verdict::Out;
+        }
+        plan.content(plan.in_force(&self.name)).verdict(name, zone, group)
+    }
+
+    /// All that is agreed up to now is in force here: settings, list and policies.
+    pub fn put_in_force(&self) {
+        let now = self.now();
+        let (revision, content) = self.content();
+        let (index, storm) = {
+            let log = self.log.borrow();
+            (log.place().index, log.machine().storm().0)
+        };
+        self.throttle.borrow_mut().change(content, storm, now);
+        if self.storm.replace(storm) != storm {
+            (self.listener)(AccordEvent::Storm(storm));
+        }
+        let before = self.in_force.replace(index);
+        if self.revision.replace(revision) != revision {
+            (self.listener)(AccordEvent::InForce { revision, index });
+        }
+        if before != index {
+            self.next_tell.set(now);
+            self.wake.notify_one();
+        }
+    }
+
+    /// Whether an attempt may go out by the policies on retries.
+    pub(crate) fn attempts(
+        &self,
+        request: &Request,
+        first: bool,
+        after: Option<Happened>,
+        part: impl FnOnce() -> f64,
+    ) -> bool {
+        let class = std::str::from_utf8(request.class()).unwrap_or_default();
+        let caller = request.headers.single("x-caller").ok().flatten();
+        let tenant = caller.and_then(|caller| std::str::from_utf8(caller).ok());
+        self.tries(class, tenant, first, after, part)
+    }
+
+    /// The same, of a request by its class and tenant.
+    pub fn tries(
+        &self,
+        class: &str,
+        tenant: Option<&str>,
+        first: bool,
+        after: Option<Happened>,
+        part: impl FnOnce() -> f64,
+    ) -> bool {
+        let wanted = Wanted { tenant, class, tier: self.tier, zone: &self.zone, after };
+        let mut throttle = self.throttle.borrow_mut();
+        if first {
+            throttle.first(&wanted);
+            return true;
+        }
+        let tried = throttle.retry(&wanted, part(), self.now());
+        let barred = matches!(tried, Tried::Barred(_));
+        self.barred.set(self.barred.get() + u64::from(barred));
+        !barred
+    }
+
+    /// Refuses a text that leaves too few of the backend servers that this door knows.
+    pub fn leaves_enough(&self, text: &str, listed: &Listed) -> Result<(), Failure> {
+        let content =
+            Content::parse(text, "revision").map_err(|error| PlanError::Content(error.to_string()))?;
+        let ready = listed.iter().filter(|(.., ready)| *ready);
+        let of = ready.clone().count() as u32;
+        let left = ready.filter(|(name, zone, group, _)| content.verdict(name, zone, *group) != Verdict::Out);
+        enough(left.count() as u32, of, content.keep, "server")
+    }
+
+    /// Refuses to bar one more backend server where too few would be left.
+    pub fn spares(&self, name: &str, listed: &Listed) -> Result<(), Failure> {
+        let (_, content) = self.content();
+        let of = listed.len() as u32;
+        let stays = |(other, zone, group, ready): &&(String, String, usize, bool)| {
+            *ready && other != name && self.verdict(other, zone, *group) != Verdict::Out
+        };
+        enough(listed.iter().filter(stays).count() as u32, of, content.keep, "drain")
+    }
+
+    /// Looks at the log.
+    pub fn ask<T>(&self, what: impl FnOnce(&Log<Plan>) -> T) -> T {
+        what(&self.log.borrow())
+    }
+
+    /// A revision's text.
+    pub fn text(&self, revision: u32) -> Result<String, Failure> {
+        let log = self.log.borrow();
+        let plan = log.machine();
+        let known = plan.revisions();
+        let not_kept = || PlanError::NotKept {
+            wanted: revision,
+            oldest: known.keys().next().copied().unwrap_or(0),
+            newest: known.keys().last().copied().unwrap_or(0),
+        };
+        Ok(plan.text(revision).ok_or_else(not_kept)?.to_owned())
+    }
+
+    /// The entry up to which the plan is in force here, and the revision.
+    pub fn stands(&self) -> (u64, u32) {
+        (self.in_force.get(), self.revision.get())
+    }
+
+    /// Where the plan stands, for operators.
+    pub fn json(&self) -> Value {
+        let (log, now) = (self.log.borrow(), self.now());
+        let (plan, unix) = (log.machine(), self.platform.unix().as_millis() as u64);
+        let status: Status = log.status(now);
+        let standing = self.standing.borrow();
+        let heard = self.heard.borrow();
+        // Only keepers hear where all stand.
+        let keeper = log.config().place().is_some();
+        let mut by_revision: BTreeMap<u32, usize> = BTreeMap::new();
+        let mut behind = Vec::new();
+        if keeper {
+            for it in standing.iter().filter(|it| it.presence != Presence::Left) {
+                let known = heard.get(&it.name).filter(|known| known.told.generation == it.generation);
+                if let Some(known) = known {
+                    *by_revision.entry(known.told.revision).or_default() += 1;
+                }
+                let told = known.map_or(0, |known| known.told.index);
+                if told < status.index {
+                    let state =
+                        if it.presence == Presence::There { "there" } else { "gone, may still serve" };
+                    let heard_ms = known.map(|known| now.saturating_sub(known.at).as_millis() as u64);
+                    behind.push(json!({"name": it.name, "at": told, "state": state, "heard_ms": heard_ms}));
+                }
+            }
+        }
+        let revisions: Vec<Value> = plan
+            .revisions()
+            .iter()
+            .map(|(number, it)| {
+                json!({"number": number, "digest": format!("{:016x}", it.digest), "by": it.by, "reason": it.reason,
+                    "unix_ms": it.unix_ms, "of": it.of, "pinned": it.pinned})
+            })
+            .collect();
+        let permits: Vec<Value> = plan
+            .permits()
+            .iter()
+            .map(|(&number, it)| {
+                let up: Vec<&str> = match it.state {
+                    PermitState::Out { .. } if keeper && it.what.server() => {
+                        let held = self.steward.borrow().holds_up(plan, number, &standing);
+                        held.iter()
+                            .filter(|held| {
+                                heard.get(&held.name).is_none_or(|known| known.told.index < status.index)
+                            })
+                            .map(|held| held.name.as_str())
+                            .take(16)
+                            .collect::<Vec<&str>>()
+                    }
+                    _ => Vec::new(),
+                };
+                let waits = it.waits_for.as_ref().map(ToString::to_string);
+                json!({"number": number, "name": it.what.name(), "server": it.what.server(), "zone": it.zone,
+                    "tier": it.tier, "by": it.by, "state": it.told(), "overdue": unix > it.due_ms,
+                    "waits_for": waits, "held_up_by": up, "since": it.since()})
+            })
+            .collect();
+        let release = plan.release().map(|it| {
+            json!({"revision": it.revision, "waves": it.waves, "wave": it.wave, "phase": format!("{:?}", it.phase),
+                "waved": plan.waved()})
+        });
+        json!({
+            "log": status, "revision": self.revision.get(), "in_force_to": self.in_force.get(),
+            "current": plan.current(), "revisions": revisions, "permits": permits, "release": release,
+            "halted_by": plan.halted(), "storm": plan.storm().0, "retries_barred": self.barred.get(),
+            "keeper": keeper, "at_revision": by_revision, "behind": behind,
+        })
+    }
+}
+
+fn enough(left: u32, of: u32, keep: f64, field: &str) -> Result<(), Failure> {
+    if f64::from(left) < keep * f64::from(of) || left == 0 && of > 0 {
+        let (field, keep) = (field.to_owned(), keep.to_string());
+        return Err(PlanError::TooLittleLeft { field, left, of, keep }.into());
+    }
+    Ok(())
+}
--- a/crates/sidecar/src/backend.rs
+++ b/crates/sidecar/src/backend.rs
@@ -1,7 +1,7 @@
 //! Connections to backend servers: opened as needed, kept while idle, one request at a time on each.
 
 use crate::counters::{Counters, count};
-use crate::purse::Purses;
+use crate::fleet::Fleet;
 use cometcroft::UpstreamId;
 use cometcroft_platform::{Platform, Stream};
 use std::cell::{Cell, RefCell};
@@ -39,7 +39,7 @@
     keep: Cell<Duration>,
     connect_timeout: Cell<Duration>,
     counters: Rc<Counters>,
-    purses: Option<Rc<Purses<P>>>,
+    fleet: Option<Rc<Fleet<P>>>,
 }
 
 impl<P: Platform> Pool<P> {
@@ -49,7 +49,7 @@
         most: usize,
         [idle, connect_timeout]: [Duration; 2],
         counters: Rc<Counters>,
-        purses: Option<Rc<Purses<P>>>,
+        fleet: Option<Rc<Fleet<P>>>,
     ) -> Rc<Pool<P>> {
         Rc::new(Pool {
             platform,
@@ -59,7 +59,7 @@
             keep: Cell::new(kept(idle)),
             connect_timeout: Cell::new(connect_timeout),
             counters,
-            purses,
+            fleet,
         })
     }
 
@@ -86,8 +86,8 @@
         // The place is taken before the wait, or many waiting at once would pass the limit.
         let place = Place::take(self);
         // Danger: a fleet that reconnects all at once would bring down what it reconnects to.
-        if let Some(purses) = &self.purses
-            && !purses.connects(until).await
+        if let Some(fleet) = &self.fleet
+            && !fleet.connects(until).await
         {
             count(&self.counters.connections_barred);
             return Err(io::ErrorKind::QuotaExceeded.into());
--- a/crates/sidecar/src/directory.rs
+++ b/crates/sidecar/src/directory.rs
@@ -1,6 +1,7 @@
 //! The directory: the list of backend servers as last told, where they are and which of them drain. No I/O.
 
 use cometcroft::*;
+use cometcroft_plan::Verdict;
 use cometcroft_settings::hash;
 use serde_json::Value;
 use std::cell::{Cell, RefCell};
@@ -13,11 +14,19 @@
     address: SocketAddr,
     /// When we were told that it drains or is gone.
     closed: Option<Instant>,
+    /// As discovery told it.
+    told: Member,
+    /// What the fleet's plan says of it.
+    verdict: Verdict,
 }
 
-/// Where the backend servers are and which of them take nothing new. Told by discovery alone.
-#[derive(Debug)]
+/// What the fleet's plan says of a backend server, by name, zone and group.
+pub type Judge = Box<dyn Fn(&str, &str, usize) -> Verdict>;
+
+/// Where the backend servers are and which of them take nothing new. Told by discovery; the fleet's plan, if there is
+/// one, may bar what discovery lists, and never the other way.
 pub struct Directory {
+    judge: RefCell<Option<Judge>>,
     entries: RefCell<BTreeMap<UpstreamId, Entry>>,
     ids: RefCell<HashMap<String, UpstreamId>>,
     /// The next id. Danger: what is still out to one that is gone would be taken for its successor's.
@@ -44,6 +53,7 @@
     /// An empty directory; `now` is the module's clock at this moment, and `unix` the time since the Unix epoch.
     pub fn new(zones: Vec<String>, drain_grace: Duration, now: Time, unix: Duration) -> Directory {
         Directory {
+            judge: RefCell::new(None),
             entries: RefCell::default(),
             ids: RefCell::default(),
             next: Cell::new(0),
@@ -77,8 +87,9 @@
     /// Whether a request may still be begun there.
     pub fn open(&self, id: UpstreamId, now: Instant) -> bool {
         let entries = self.entries.borrow();
-        let closed = entries.get(&id).map(|e| e.closed);
-        closed.is_some_and(|closed| {
+        // Danger: that a bar of the plan is in force is confirmed, so it has no grace.
+        let open = entries.get(&id).filter(|e| e.verdict != Verdict::Out).map(|e| e.closed);
+        open.is_some_and(|closed| {
             closed.is_none_or(|at| now.saturating_duration_since(at) < self.grace.get())
         })
     }
@@ -134,16 +145,17 @@
                 State::Ready => None,
                 _ => Some(known.and_then(|e| e.closed).unwrap_or(now)),
             };
+            member.upstream = id;
+            let verdict = self.judged(name, &member);
             if let Some(address) = address.or(known.map(|e| e.address)) {
-                entries.insert(id, Entry { address, closed });
+                entries.insert(id, Entry { address, closed, told: member.clone(), verdict });
             }
             if member.state == State::Gone {
                 // Nothing new goes there, and no table may grow with every machine that ever was.
                 entries.remove(&id);
                 ids.remove(name);
             }
-            member.upstream = id;
-            members.push(member);
+            members.push(stricter(member, verdict));
         }
         if whole {
             entries.retain(|id, _| listed.contains(id));
@@ -152,6 +164,44 @@
         members
     }
 
+    /// From now on the plan judges what is listed.
+    pub fn judge_by(&self, judge: Judge) {
+        self.judge.replace(Some(judge));
+    }
+
+    fn judged(&self, name: &str, member: &Member) -> Verdict {
+        let judge = self.judge.borrow();
+        let zones = self.zones.borrow();
+        let zone = zones.get(member.zone.0).map_or("", String::as_str);
+        judge.as_ref().map_or(Verdict::Stays, |judge| judge(name, zone, member.cell.0))
+    }
+
+    /// The plan has changed: the entries of which it now says something else, as the module takes them.
+    pub fn judge(&self) -> Vec<Member> {
+        let (ids, mut entries) = (self.ids.borrow(), self.entries.borrow_mut());
+        let mut changed = Vec::new();
+        for (name, id) in ids.iter() {
+            let Some(entry) = entries.get_mut(id) else { continue };
+            let verdict = self.judged(name, &entry.told);
+            if std::mem::replace(&mut entry.verdict, verdict) != verdict {
+                changed.push(stricter(entry.told.clone(), verdict));
+            }
+        }
+        changed.sort_by_key(|member| member.upstream);
+        changed
+    }
+
+    /// All that is listed: name, zone, group, and whether discovery holds it to be ready.
+    pub fn listed(&self) -> Vec<(String, String, usize, bool)> {
+        let (ids, entries, zones) = (self.ids.borrow(), self.entries.borrow(), self.zones.borrow());
+        let row = |(name, id): (&String, &UpstreamId)| {
+            let told = &entries.get(id)?.told;
+            let zone = zones.get(told.zone.0).cloned().unwrap_or_default();
+            Some((name.clone(), zone, told.cell.0, told.state == State::Ready))
+        };
+        ids.iter().filter_map(row).collect()
+    }
+
     fn entry<'a>(&self, value: &'a Value) -> Option<(&'a str, Option<SocketAddr>, Member)> {
         let text = |key| value.get(key).and_then(Value::as_str);
         let name = text("name")?;
@@ -184,6 +234,17 @@
     }
 }
 
+/// What discovery told, and what the plan says of it: the stricter of both.
+fn stricter(mut member: Member, verdict: Verdict) -> Member {
+    match verdict {
+        Verdict::Stays => {}
+        Verdict::Share(share) => member.weight *= share,
+        Verdict::Out if member.state == State::Ready => member.state = State::Draining,
+        Verdict::Out => {}
+    }
+    member
+}
+
 /// The part of a drain's grace in which a first byte goes out. Written here is not yet arrived there, and both clocks may
 /// be held up.
 fn in_time(drain_grace: Duration) -> Duration {
--- a/crates/sidecar/src/discovery.rs
+++ b/crates/sidecar/src/discovery.rs
@@ -3,9 +3,9 @@
 use crate::counters::count;
 use crate::directory::Directory;
 use crate::exchange::read_answer;
+use crate::fleet::Fleet;
 use crate::http::client::{self, Exchange};
 use crate::lifecycle::Life;
-use crate::purse::Purses;
 use crate::session::{Carrier, Host};
 use cometcroft::{Event, ListScope};
 use cometcroft_platform::{Platform, Stream};
@@ -64,7 +64,7 @@
     life: Rc<Life<C::Platform>>,
     mut index: Option<i64>,
     seed: u64,
-    purses: Option<Rc<Purses<C::Platform>>>,
+    fleet: Option<Rc<Fleet<C::Platform>>>,
 ) {
     let (platform, counters) = (host.platform().clone(), host.counters().clone());
     let mut rng = fastrand::Rng::with_seed(seed);
@@ -80,8 +80,8 @@
         // A watch lasts while the next call follows the last answer at once. A call that failed ends it; the module
         // says when to begin anew, and the last list is kept.
         loop {
-            if let Some(purses) = &purses {
-                purses.calls().await;
+            if let Some(fleet) = &fleet {
+                fleet.calls().await;
             }
             count(&counters.discovery_calls);
             // Who is owed news hears at once whether there is any.
--- a/crates/sidecar/src/dispatch.rs
+++ b/crates/sidecar/src/dispatch.rs
@@ -2,13 +2,14 @@
 
 use crate::counters::count;
 use crate::exchange::{Exchanger, Lack, Reply, Stage, outcome, without_answer};
+use crate::fleet::Fleet;
 use crate::http::client;
 use crate::http::server::Request;
 use crate::probe;
-use crate::purse::Purses;
 use crate::session::{Carrier, Ended, Later, Probed};
 use crate::upload::Upload;
 use cometcroft::{ClassId, Outcome, UpstreamId};
+use cometcroft_plan::Happened;
 use cometcroft_platform::Platform;
 use cometcroft_settings::Field;
 use std::cell::{Cell, RefCell};
@@ -26,6 +27,8 @@
     pub upload: Option<Upload>,
     /// Attempts that were begun.
     pub begun: Cell<u32>,
+    /// How the last of them ended, if it did not succeed.
+    pub ended: Cell<Option<Happened>>,
 }
 
 /// Brings dispatches and probes to backend servers over HTTP.
@@ -35,8 +38,8 @@
     pub exchanger: Exchanger<P>,
     /// The values that load reports hold.
     pub fields: Rc<RefCell<Rc<[Field]>>>,
-    /// What may be spent of the fleet's budgets, if there are any.
-    pub purses: Option<Rc<Purses<P>>>,
+    /// What the fleet allows, if there is one.
+    pub fleet: Option<Rc<Fleet<P>>>,
 }
 
 impl<P: Platform> Carrier for HttpCarrier<P> {
@@ -50,13 +53,17 @@
 
     fn dispatch(&self, to: UpstreamId, payload: Rc<Payload>, timeout: Duration) -> Later<Ended<Reply>> {
         let carrier = self.clone();
-        Box::pin(async move { carrier.attempt(to, &payload, carrier.platform().now() + timeout).await })
+        Box::pin(async move {
+            let ended = carrier.attempt(to, &payload, carrier.platform().now() + timeout).await;
+            payload.ended.set(happened(ended.outcome).or(payload.ended.get()));
+            ended
+        })
     }
 
     fn probe(&self, to: UpstreamId) -> Later<Probed> {
         let carrier = self.clone();
         Box::pin(async move {
-            if carrier.purses.as_ref().is_some_and(|purses| !purses.probes()) {
+            if carrier.fleet.as_ref().is_some_and(|fleet| !fleet.probes()) {
                 count(&carrier.exchanger.counters.probes_barred);
                 return (Outcome::Moot, None);
             }
@@ -70,6 +77,18 @@
     }
 }
 
+/// What policies on retries call an outcome.
+fn happened(outcome: Outcome) -> Option<Happened> {
+    match outcome {
+        Outcome::Full => Some(Happened::Refused),
+        Outcome::ConnectFailed => Some(Happened::NeverConnected),
+        Outcome::Error | Outcome::Reset => Some(Happened::MayHaveRun),
+        Outcome::Timeout | Outcome::Cancelled => Some(Happened::Late),
+        // Never sent: what came before it counts on.
+        Outcome::Ok | Outcome::Moot => None,
+    }
+}
+
 impl<P: Platform> HttpCarrier<P> {
     async fn attempt(&self, to: UpstreamId, payload: &Payload, ends: Instant) -> Ended<Reply> {
         let stage = Cell::new(Stage::Unwritten);
@@ -79,8 +98,8 @@
             return Ended { outcome: Outcome::Moot, report: None, answer: None };
         }
         let first = payload.begun.replace(payload.begun.get() + 1) == 0;
-        if let Some(purses) = self.purses.as_ref().filter(|_| !first)
-            && !purses.retries()
+        if let Some(fleet) = &self.fleet
+            && !fleet.attempts(&payload.request, first, payload.ended.get())
         {
             count(&self.exchanger.counters.retries_barred);
             return Ended { outcome: Outcome::Moot, report: None, answer: None };
--- a/crates/sidecar/src/door.rs
+++ b/crates/sidecar/src/door.rs
@@ -9,6 +9,7 @@
 use crate::http::server::{Connection, Request, Status, Step};
 use crate::lifecycle::{Life, Machine};
 use crate::session::{Carrier, Host};
+use crate::words;
 use cometcroft_platform::{Platform, Stream};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -38,6 +39,8 @@
     Undrain,
     /// Who is there, as this member of a fleet sees it.
     Fleet,
+    /// The fleet's plan; the rest of the path says what of it.
+    Plan,
 }
 
 /// The call that a method and a path stand for; else how it is answered, and the method that would do.
@@ -48,7 +51,10 @@
         b"/ops/drain/start" => (Call::Drain, "PUT"),
         b"/ops/drain/stop" => (Call::Undrain, "PUT"),
         b"/ops/fleet" => (Call::Fleet, "GET"),
-        _ => return Err((Status::NotFound, None)),
+        _ => match path.strip_prefix(b"/ops/plan").and_then(words::method) {
+            Some(due) => (Call::Plan, due),
+            None => return Err((Status::NotFound, None)),
+        },
     };
     if method == due.as_bytes() { Ok(call) } else { Err((Status::NotAllowed, Some(due))) }
 }
@@ -152,17 +158,17 @@
                     }
                 }
                 Step::Continue(bytes) => stream.write_all(bytes).await?,
-                Step::Request(request) => return Ok(Some(self.answer(&mut machine, &request))),
+                Step::Request(request) => return Ok(Some(self.answer(&mut machine, &request).await)),
                 Step::Upload(..) => return Ok(Some(refuse(&mut machine, Status::TooLarge))),
                 Step::Reject(status) => return Ok(Some(refuse(&mut machine, status))),
             }
         }
     }
 
-    fn answer(&self, machine: &mut Connection, request: &Request) -> bytes::BytesMut {
+    async fn answer(&self, machine: &mut Connection, request: &Request) -> bytes::BytesMut {
         let (status, extra, body) = match route(&request.method, request.path()) {
             Ok(call) => {
-                let (status, body) = self.call(call);
+                let (status, body) = self.call(call, request).await;
                 (status, "Content-Type: application/json\r\n".to_owned(), body)
             }
             Err((status, allow)) => {
@@ -175,7 +181,7 @@
         message
     }
 
-    fn call(&self, call: Call) -> (Status, String) {
+    async fn call(&self, call: Call, request: &Request) -> (Status, String) {
         match call {
             Call::Readiness => {
                 let ready = self.life.ask(Machine::wanted);
@@ -190,6 +196,13 @@
                 Some(fleet) => (Status::Ok, fleet.json() + "\n"),
                 None => (Status::NotFound, String::new()),
             },
+            Call::Plan => match self.fleet.as_ref().and_then(|fleet| fleet.accord()) {
+                Some(accord) => {
+                    let path = request.path().strip_prefix(b"/ops/plan").unwrap_or_default();
+                    words::answer(accord, &self.directory, path, request).await
+                }
+                None => (Status::NotFound, String::new()),
+            },
             Call::Drain => {
                 self.life.tell(Machine::drain);
                 (Status::Ok, "{\"draining\":true}\n".to_owned())
--- a/crates/sidecar/src/fleet.rs
+++ b/crates/sidecar/src/fleet.rs
@@ -1,10 +1,13 @@
 //! This sidecar as a member of its fleet: the driver of [`Membership`] on a [`Platform`]. The data path never waits for
 //! it; what it learns reaches the module as settings.
 
-use crate::purse::{BudgetParts, Purses};
+use crate::accord::{Accord, AccordParts};
+use crate::http::server::Request;
+use crate::purse::{BudgetParts, Held, Purses};
 use cometcroft::Settings;
 use cometcroft_budget::is_ours;
 use cometcroft_membership::{Change, Config, Headcount, MAX_DATAGRAM, Membership, Output, Time};
+use cometcroft_plan::Happened;
 use cometcroft_platform::{Datagrams, Listener, Platform, Task};
 use std::cell::{Cell, RefCell};
 use std::io;
@@ -17,6 +20,9 @@
 /// Exchanges that it begins, and that others begin with it, at once.
 const EXCHANGES: usize = 2;
 const VISITORS: usize = 8;
+/// Messages too long for a datagram on their way at once, and how such a connection begins: no view is so long.
+const LETTERS: usize = 16;
+const LETTER: &[u8; 4] = b"cl\xff\xff";
 /// An exchange takes no longer.
 const EXCHANGE: Duration = Duration::from_secs(1);
 /// What hears of every change of state.
@@ -36,6 +42,8 @@
     pub watcher: Watcher,
     /// Its part in the fleet's budgets, if there are any.
     pub budget: Option<BudgetParts>,
+    /// Its part in the fleet's plan, if there is one.
+    pub accord: Option<AccordParts>,
 }
 
 /// A member of a fleet.
@@ -54,17 +62,22 @@
     visitors: Cell<usize>,
     watcher: Watcher,
     purses: Option<Rc<Purses<P>>>,
+    accord: Option<Rc<Accord<P>>>,
+    /// Messages too long for a datagram that are on their way.
+    letters: Cell<usize>,
 }
 
 impl<P: Platform> Fleet<P> {
     /// A member that starts now; `instances` is how many are at work by the settings.
     pub fn new(platform: P, parts: FleetParts<P>, instances: u32, seed: u64) -> (Rc<Fleet<P>>, P::Listener) {
-        let FleetParts { config, socket, listener, from, watcher, budget } = parts;
+        let FleetParts { config, socket, listener, from, watcher, budget, accord } = parts;
         let origin = platform.now();
         let (tier, cautious, settle) = (config.tier, config.parts.cautious, config.timing.settle);
         let unix = platform.unix().as_millis() as u64;
+        let machine = Membership::new(config, Time::ZERO, unix, seed);
+        let accord = accord.map(|parts| Accord::new(platform.clone(), parts, machine.me(), !seed));
         let fleet = Fleet {
-            machine: RefCell::new(Membership::new(config, Time::ZERO, unix, seed)),
+            machine: RefCell::new(machine),
             socket,
             from,
             origin,
@@ -77,6 +90,8 @@
             visitors: Cell::new(0),
             watcher,
             purses: budget.map(|parts| Purses::new(platform.clone(), parts)),
+            accord,
+            letters: Cell::new(0),
             platform,
         };
         (Rc::new(fleet), listener)
@@ -94,12 +109,15 @@
         loop {
             let due = self.origin + self.machine.borrow().next_at();
             let lent = self.purses.as_ref().map(|purses| purses.next_at());
+            let agreed = self.accord.as_ref().map(|accord| accord.next_at());
             tokio::select! {
                 biased;
                 // Danger: who floods it with datagrams must not keep it from its times.
                 () = self.platform.sleep_until(due) => self.machine.borrow_mut().tick(self.now()),
                 () = self.platform.sleep_until(lent.unwrap_or(due)), if lent.is_some() => self.tick_purses(),
+                () = self.platform.sleep_until(agreed.unwrap_or(due)), if agreed.is_some() => self.tick_accord(),
                 () = self.wake.notified() => {}
+                () = said(&self.accord) => {}
                 () = lacking(&self.purses) => self.tick_purses(),
                 got = self.socket.receive(&mut buffer) => match got {
                     Ok((length, from)) => self.hear(from, &buffer[..length]),
@@ -117,7 +135,17 @@
         }
     }
 
+    fn tick_accord(&self) {
+        if let Some(accord) = &self.accord {
+            accord.tick(&self.machine.borrow());
+        }
+    }
+
     fn hear(&self, from: SocketAddr, bytes: &[u8]) {
+        if let Some(accord) = self.accord.as_ref().filter(|_| cometcroft_consensus::is_ours(bytes)) {
+            accord.receive(bytes);
+            return;
+        }
         match (&self.purses, from) {
             (Some(purses), SocketAddr::V4(from)) if is_ours(bytes) => purses.receive(from, bytes),
             _ => self.machine.borrow_mut().receive(self.now(), bytes),
@@ -155,18 +183,48 @@
         while let Some((to, bytes)) = purses.and_then(|purses| purses.output()) {
             drop(self.socket.send(&bytes, to.into()));
         }
-        if self.in_force.replace(count) != count || purses.is_some_and(|purses| purses.unsettled()) {
+        let accord = self.accord.as_ref();
+        while let Some((to, bytes)) = accord.and_then(|accord| accord.output()) {
+            self.deliver(to, bytes);
+        }
+        let news =
+            purses.is_some_and(|purses| purses.unsettled()) || accord.is_some_and(|accord| accord.news());
+        if self.in_force.replace(count) != count || news {
             self.counted.notify_one();
         }
     }
 
+    /// Sends a message of the plan: as a datagram, or on a connection of its own where it is too long for one. What can't
+    /// be sent now is lost, and said again.
+    fn deliver(self: &Rc<Self>, to: std::net::SocketAddrV4, bytes: Vec<u8>) {
+        if bytes.len() <= MAX_DATAGRAM {
+            drop(self.socket.send(&bytes, to.into()));
+        } else if self.letters.get() < LETTERS {
+            self.letters.set(self.letters.get() + 1);
+            let fleet = self.clone();
+            self.platform.detach(async move {
+                let post = async {
+                    let mut stream = fleet.platform.connect_from(fleet.from, to.into()).await?;
+                    stream.write_all(LETTER).await?;
+                    write(&mut stream, &bytes).await?;
+                    // Danger: a close with unread bytes on the way would reset what was sent.
+                    stream.read(&mut [0]).await
+                };
+                let _ = fleet.platform.timeout(EXCHANGE, post).await;
+                fleet.letters.set(fleet.letters.get() - 1);
+            });
+        }
+    }
+
     /// Asks another for its whole view, and gives its own.
     async fn exchange(&self, to: SocketAddr) -> io::Result<()> {
         let mut stream = self.platform.connect_from(self.from, to).await?;
         let view = self.machine.borrow_mut().view();
         write(&mut stream, &view).await?;
         let longest = self.machine.borrow().longest_view();
-        let theirs = read(&mut stream, longest).await?;
+        let mut head = [0; 4];
+        stream.read_exact(&mut head).await?;
+        let theirs = read(&mut stream, head, longest).await?;
         self.machine.borrow_mut().take_view(self.now(), &theirs);
         Ok(())
     }
@@ -187,7 +245,15 @@
             self.platform.detach(async move {
                 let visit = async {
                     let longest = fleet.machine.borrow().longest_view();
-                    let theirs = read(&mut stream, longest).await?;
+                    let mut head = [0; 4];
+                    stream.read_exact(&mut head).await?;
+                    if let Some(accord) = fleet.accord.as_ref().filter(|_| head == *LETTER) {
+                        stream.read_exact(&mut head).await?;
+                        let letter = read(&mut stream, head, cometcroft_consensus::MAX_MESSAGE).await?;
+                        accord.receive(&letter);
+                        return Ok(());
+                    }
+                    let theirs = read(&mut stream, head, longest).await?;
                     let answer = fleet.machine.borrow_mut().take_view(fleet.now(), &theirs);
                     match answer {
                         Some(answer) => write(&mut stream, &answer).await,
@@ -215,12 +281,53 @@
         self.in_force.get()
     }
 
-    /// Puts what the fleet knows into settings: how many are at work, and this one's parts of the tenants' quotas.
+    /// The plan, if it takes part in one.
+    pub fn accord(&self) -> Option<&Rc<Accord<P>>> {
+        self.accord.as_ref()
+    }
+
+    /// Whether a request of this caller is taken; else after how long it may come again.
+    pub fn admit(&self, caller: Option<&[u8]>) -> Result<Option<Held<P>>, Duration> {
+        self.purses.as_ref().map_or(Ok(None), |purses| purses.admit(caller))
+    }
+
+    /// Whether an attempt may go out: the first may; further ones by the plan's policies and by the budget.
+    pub fn attempts(&self, request: &Request, first: bool, after: Option<Happened>) -> bool {
+        let part = || self.purses.as_ref().map_or(1.0, |purses| purses.share_of_retries());
+        let allowed = self.accord.as_ref().is_none_or(|accord| accord.attempts(request, first, after, part));
+        allowed && (first || self.purses.as_ref().is_none_or(|purses| purses.retries()))
+    }
+
+    /// Whether a probe may go out.
+    pub fn probes(&self) -> bool {
+        self.purses.as_ref().is_none_or(|purses| purses.probes())
+    }
+
+    /// Waits until a new connection may be made, until then at the latest; whether it may.
+    pub async fn connects(&self, until: Instant) -> bool {
+        match &self.purses {
+            Some(purses) => purses.connects(until).await,
+            None => true,
+        }
+    }
+
+    /// Waits until discovery may be called.
+    pub async fn calls(&self) {
+        if let Some(purses) = &self.purses {
+            purses.calls().await;
+        }
+    }
+
+    /// Puts what the fleet knows into settings: how many are at work, this one's parts of the tenants' quotas, and what
+    /// the revision in force allows.
     pub fn settle(&self, settings: &mut Settings, tenants: &[String]) {
         settings.instances = self.at_work();
         if let Some(purses) = &self.purses {
             purses.settle(settings, tenants);
         }
+        if let Some(accord) = &self.accord {
+            accord.settle(settings);
+        }
     }
 
     /// Its budgets, if it has any.
@@ -258,6 +365,14 @@
     }
 }
 
+/// Waits until something is to be said; for ever where there is no plan.
+async fn said<P: Platform>(accord: &Option<Rc<Accord<P>>>) {
+    match accord {
+        Some(accord) => accord.wake.notified().await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Ends its task with itself.
 struct Guard<T: Task>(T);
 
@@ -273,9 +388,11 @@
     stream.flush().await
 }
 
-async fn read(stream: &mut (impl AsyncReadExt + Unpin), longest: usize) -> io::Result<Vec<u8>> {
-    let mut length = [0; 4];
-    stream.read_exact(&mut length).await?;
+async fn read(
+    stream: &mut (impl AsyncReadExt + Unpin),
+    length: [u8; 4],
+    longest: usize,
+) -> io::Result<Vec<u8>> {
     let length = u32::from_le_bytes(length) as usize;
     // Danger: a stranger may announce any length; room is made for what came, not for what was announced.
     if length > longest {
--- a/crates/sidecar/src/frontend.rs
+++ b/crates/sidecar/src/frontend.rs
@@ -6,10 +6,11 @@
 use crate::dispatch::Payload;
 use crate::exchange::{Pieces, Reply};
 use crate::figures::Tally;
+use crate::fleet::Fleet;
 use crate::http::server::{Coding, Connection, Request, Status, Step};
 use crate::http::{Fault, MAX_BODY, MAX_BULK, Piece};
 use crate::lifecycle::{Life, Machine};
-use crate::purse::{Held as Spent, Purses};
+use crate::purse::Held as Spent;
 use crate::session::{Carrier, Host, Opening, Verdict};
 use crate::upload::{Budget, Patience, Upload};
 use bytes::{Bytes, BytesMut};
@@ -59,7 +60,7 @@
     turn: Cell<u64>,
     /// The ids of all open requests.
     ids: RefCell<HashSet<Bytes>>,
-    purses: Option<Rc<Purses<C::Platform>>>,
+    fleet: Option<Rc<Fleet<C::Platform>>>,
 }
 
 /// A connection with no open request.
@@ -78,7 +79,7 @@
         life: Rc<Life<C::Platform>>,
         counters: Rc<Counters>,
         [most, memory]: [usize; 2],
-        purses: Option<Rc<Purses<C::Platform>>>,
+        fleet: Option<Rc<Fleet<C::Platform>>>,
     ) -> Rc<Frontend<C>> {
         Rc::new(Frontend {
             platform: host.platform().clone(),
@@ -94,7 +95,7 @@
             waiting: RefCell::default(),
             turn: Cell::new(0),
             ids: RefCell::default(),
-            purses,
+            fleet,
         })
     }
 
@@ -408,9 +409,9 @@
 
     /// What a request takes of the fleet's budgets, or after how long it may come again.
     fn spend(&self, payload: &Payload) -> Result<Option<Spent<C::Platform>>, Duration> {
-        let Some(purses) = &self.purses else { return Ok(None) };
+        let Some(fleet) = &self.fleet else { return Ok(None) };
         let caller = payload.request.headers.single("x-caller").ok().flatten();
-        purses.admit(caller.map(|caller| &caller[..]))
+        fleet.admit(caller.map(|caller| &caller[..]))
     }
 
     /// Answers what can't be taken; its connection ends with it.
@@ -487,7 +488,8 @@
         // The body of a large request has its time before that; SIGKILL waits for neither.
         let (left, due) = (left + more, due + more);
         let (left, due) = (left.min(last.unwrap_or(left)), now + due.min(last.unwrap_or(due)));
-        let payload = Rc::new(Payload { request, class, upload, begun: Cell::new(0) });
+        let payload =
+            Rc::new(Payload { request, class, upload, begun: Cell::new(0), ended: Cell::default() });
         Ok((Opening { class, tenant: tenant.map(TenantId), left, repeat, payload }, due))
     }
 
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -4,6 +4,7 @@
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
+pub mod accord;
 pub mod backend;
 pub mod classes;
 pub mod config;
@@ -15,6 +16,7 @@
 pub mod exchange;
 pub mod figures;
 pub mod fleet;
+mod force;
 pub mod frontend;
 pub mod http;
 pub mod lifecycle;
@@ -24,6 +26,7 @@
 pub mod retune;
 pub mod session;
 pub mod upload;
+pub mod words;
 
 use crate::backend::Pool;
 use crate::classes::Register;
@@ -34,8 +37,9 @@
 use crate::door::Door;
 use crate::exchange::Exchanger;
 use crate::fleet::{Fleet, FleetParts};
+use crate::force::Force;
 use crate::frontend::{Frontend, HttpBackend};
-use crate::lifecycle::Life;
+use crate::lifecycle::{Life, Machine};
 use crate::retune::Control;
 use crate::session::Host;
 use cometcroft::{Event, ListScope};
@@ -98,17 +102,15 @@
     let (instances, seed) = (config.settings.instances, config.seed);
     let member = fleet.map(|parts| Fleet::new(platform.clone(), parts, instances, seed.rotate_left(32)));
     let (fleet, meets) = member.unzip();
-    let purses = fleet.as_ref().and_then(|fleet| fleet.purses().cloned());
-    let pool = Pool::new(platform.clone(), to_backends, [idle, dial], counters.clone(), purses.clone());
+    let pool = Pool::new(platform.clone(), to_backends, [idle, dial], counters.clone(), fleet.clone());
     let grace = config.settings.rules.drain_grace;
     let directory = Rc::new(Directory::new(config.net.zones.clone(), grace, ORIGIN, platform.unix()));
     let exchanger =
         Exchanger { pool: pool.clone(), directory: directory.clone(), counters: counters.clone() };
     let fields = Rc::new(RefCell::new(config.fields.into()));
-    let carrier = wrap(HttpCarrier { exchanger, fields: fields.clone(), purses: purses.clone() });
+    let carrier = wrap(HttpCarrier { exchanger, fields: fields.clone(), fleet: fleet.clone() });
     let register = Register::new(&config.net.classes, &config.settings.classes);
-    // What the settings say, but for how many sidecars are at work: that is the fleet's to tell.
-    let mut said = fleet.as_ref().map(|_| (config.settings.clone(), config.net.clone()));
+    let said = fleet.as_ref().map(|_| (config.settings.clone(), config.net.clone()));
     let host =
         Host::new(carrier, config.settings, seed, ORIGIN, counters.clone()).map_err(io::Error::other)?;
     counters.figures.name(&config.net.classes);
@@ -128,7 +130,7 @@
         life.clone(),
         index,
         !seed,
-        purses.clone(),
+        fleet.clone(),
     );
     let watch = platform.spawn(watch);
     let (sweeper, swept) = (platform.clone(), pool.clone());
@@ -158,40 +160,41 @@
         life.clone(),
         counters,
         [to_clients, config.memory / 4],
-        purses,
+        fleet.clone(),
     );
-    let (tuned, tuner) = (frontend.clone(), platform.clone());
+    let force = Force {
+        frontend: frontend.clone(),
+        host: host.clone(),
+        directory: directory.clone(),
+        pool,
+        life: life.clone(),
+        fields,
+        fleet: fleet.clone(),
+        said: RefCell::new(said),
+    };
+    let accord = fleet.as_ref().and_then(|fleet| fleet.accord());
+    if let Some(accord) = accord {
+        let (judging, asked) = (accord.clone(), life.clone());
+        directory.judge_by(Box::new(move |name, zone, group| judging.verdict(name, zone, group)));
+        accord.ready_by(move || asked.ask(Machine::wanted));
+    }
+    let tuner = platform.clone();
     let tune = platform.spawn(async move {
         loop {
-            let config = tokio::select! {
+            tokio::select! {
                 biased;
-                config = control.next() => Some(config),
-                () = recounted(&fleet) => None,
-            };
-            if let Some(config) = config {
-                // One step: nothing is awaited between the first and the last of these.
-                life.tell(|machine, _| machine.longest(config.longest_deadline()));
-                let Config { mut settings, net, fields: named, .. } = config;
-                directory.retune(net.zones.clone(), settings.rules.drain_grace);
-                pool.retune(net.idle, net.connect_timeout);
-                fields.replace(named.into());
-                if let Some(said) = &mut said {
-                    *said = (settings.clone(), net.clone());
-                }
-                if let Some(fleet) = &fleet {
-                    fleet.settle(&mut settings, &net.tenants);
+                config = control.next() => force.file(config),
+                () = recounted(&force.fleet) => {
+                    force.fleet();
+                    // Danger: hundreds that join in a second would have the module take new settings for each.
+                    tuner.sleep(RECOUNT).await;
                 }
-                tuned.retune(settings, &net.classes, net.tenants);
-            } else if let (Some(fleet), Some((settings, net))) = (&fleet, &said) {
-                // All sums over the fleet are divided by who is there from now on.
-                let mut settings = settings.clone();
-                fleet.settle(&mut settings, &net.tenants);
-                tuned.retune(settings, &net.classes, net.tenants.clone());
-                // Danger: hundreds that join in a second would have the module take new settings for each.
-                tuner.sleep(RECOUNT).await;
             }
         }
     });
+    if let Some(accord) = accord {
+        accord.first().await;
+    }
     frontend.run(listener).await;
     tune.abort();
     for task in members.into_iter().flatten() {
--- a/crates/sidecar/src/main.rs
+++ b/crates/sidecar/src/main.rs
@@ -5,13 +5,15 @@
 use clap::{Parser, Subcommand};
 use cometcroft_budget::Event;
 use cometcroft_membership::Change;
+use cometcroft_plan::{Content, Happened, Wanted};
 use cometcroft_platform::{Platform, Tokio};
 use cometcroft_sidecar::Parts;
+use cometcroft_sidecar::accord::{AccordEvent, AccordParts};
 use cometcroft_sidecar::config::Config;
 use cometcroft_sidecar::counters::Counters;
 use cometcroft_sidecar::fleet::FleetParts;
 use cometcroft_sidecar::lifecycle::Life;
-use cometcroft_sidecar::operator::{BudgetSection, FleetSection, Operator};
+use cometcroft_sidecar::operator::{BudgetSection, FleetSection, Operator, PlanSection};
 use cometcroft_sidecar::purse::BudgetParts;
 use cometcroft_sidecar::retune::Control;
 use std::hash::{BuildHasher, RandomState};
@@ -39,6 +41,13 @@
     Check {
         /// The file.
         file: PathBuf,
+        /// It is a revision's text.
+        #[arg(long)]
+        plan: bool,
+        /// Of a revision: which retry rule binds for a request, given as class=NAME, tenant=NAME, tier=N, zone=NAME,
+        /// after=refused|never-connected|may-have-run|late, with commas.
+        #[arg(long, value_name = "REQUEST", requires = "plan")]
+        explain: Option<String>,
     },
 }
 
@@ -50,6 +59,41 @@
             if let (Some(budget), Some(fleet)) = (&operator.budget, &operator.fleet) {
                 println!("{}", budget.told(fleet));
             }
+            if let (Some(plan), Some(fleet)) = (&operator.plan, &operator.fleet) {
+                println!("{}", plan.told(fleet));
+            }
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            eprintln!("cometcroft: {error}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+/// Reads a revision's text, and says which retry rule binds.
+fn check_plan(file: &std::path::Path, explain: Option<&str>) -> ExitCode {
+    let name = file.display().to_string();
+    let text = std::fs::read_to_string(file).map_err(|error| format!("{name}: {error}"));
+    let content = text.and_then(|text| Content::parse(&text, &name).map_err(|error| error.to_string()));
+    let told = content.and_then(|content| match explain {
+        None => Ok(format!(
+            "version {}: {} server rules, {} limits of outages, {} retry rules{}",
+            content.version,
+            content.servers.len(),
+            content.out.len(),
+            content.retries.len(),
+            if content.storm.is_some() { ", a storm rule" } else { "" },
+        )),
+        Some(request) => wanted(request).map(|[class, tenant, tier, zone, after]| {
+            let (tier, after) = (tier.and_then(|t| t.parse().ok()).unwrap_or(0), after.and_then(happened));
+            let class = class.unwrap_or_default();
+            content.explain(&Wanted { tenant, class, tier, zone: zone.unwrap_or_default(), after })
+        }),
+    });
+    match told {
+        Ok(told) => {
+            println!("{told}");
             ExitCode::SUCCESS
         }
         Err(error) => {
@@ -59,10 +103,36 @@
     }
 }
 
+/// The fields of a request to explain: class, tenant, tier, zone, after.
+fn wanted(request: &str) -> Result<[Option<&str>; 5], String> {
+    let mut fields = [None; 5];
+    for pair in request.split(',') {
+        let (name, value) = pair.split_once('=').ok_or_else(|| format!("--explain: {pair:?} has no ="))?;
+        let at = ["class", "tenant", "tier", "zone", "after"].iter().position(|known| *known == name.trim());
+        let at = at
+            .ok_or_else(|| format!("--explain: {name:?} is not known; class, tenant, tier, zone or after"))?;
+        if at == 2 && value.parse::<u8>().is_err() || at == 4 && happened(value).is_none() {
+            return Err(format!("--explain: {name}: {value:?} makes no sense"));
+        }
+        fields[at] = Some(value);
+    }
+    Ok(fields)
+}
+
+fn happened(word: &str) -> Option<Happened> {
+    match word {
+        "refused" => Some(Happened::Refused),
+        "never-connected" => Some(Happened::NeverConnected),
+        "may-have-run" => Some(Happened::MayHaveRun),
+        "late" => Some(Happened::Late),
+        _ => None,
+    }
+}
+
 fn main() -> ExitCode {
     let cli = Cli::parse();
-    if let Some(Command::Check { file }) = cli.command {
-        return check(&file);
+    if let Some(Command::Check { file, plan, explain }) = cli.command {
+        return if plan { check_plan(&file, explain.as_deref()) } else { check(&file) };
     }
     let config = match Config::load(variable) {
         Ok(config) => config,
@@ -79,8 +149,8 @@
             return ExitCode::from(2);
         }
     };
-    let Operator { fleet, budget } = operator;
-    let fleet = fleet.map(|section| joins(section, budget.as_ref(), &config));
+    let Operator { fleet, budget, plan } = operator;
+    let fleet = fleet.map(|section| joins(section, budget.as_ref(), plan.as_ref(), &config));
     let fleet = match fleet.transpose() {
         Ok(fleet) => fleet,
         Err(error) => {
@@ -110,10 +180,15 @@
     }
 }
 
-/// What a member of a fleet is told: as a member, of its budgets if there are any, and the file's section.
-type Joins = (cometcroft_membership::Config, Option<BudgetParts>, FleetSection);
+/// What a member of a fleet is told: as a member, of its budgets and its plan if there are any, and the file's section.
+type Joins = (cometcroft_membership::Config, Option<BudgetParts>, Option<AccordParts>, FleetSection);
 
-fn joins(section: FleetSection, budget: Option<&BudgetSection>, config: &Config) -> Result<Joins, String> {
+fn joins(
+    section: FleetSection,
+    budget: Option<&BudgetSection>,
+    plan: Option<&PlanSection>,
+    config: &Config,
+) -> Result<Joins, String> {
     let member = section.member(config)?;
     let budget = budget.map(|budget| budget.told_to(&section, config)).transpose()?;
     let budget = budget.map(|(config, uses)| BudgetParts {
@@ -128,7 +203,16 @@
             Event::Regained => tracing::info!("has parts of the budgets"),
         }),
     });
-    Ok((member, budget, section))
+    let plan = plan.map(|plan| plan.told_to(&section)).map(|(config, wait)| AccordParts {
+        config,
+        wait,
+        listener: Box::new(|event| match event {
+            AccordEvent::InForce { revision, index } => tracing::info!(revision, index, "revision in force"),
+            AccordEvent::ByFile => tracing::warn!("no plan was heard of in time: serves by its file"),
+            AccordEvent::Storm(on) => tracing::warn!(on, "storm of retries"),
+        }),
+    });
+    Ok((member, budget, plan, section))
 }
 
 fn variable(name: &str) -> Option<String> {
@@ -178,7 +262,7 @@
 }
 
 /// Opens a member's sockets, and has its changes told in the log as lines of JSON.
-async fn join((member, budget, section): Joins) -> std::io::Result<FleetParts<Tokio>> {
+async fn join((member, budget, accord, section): Joins) -> std::io::Result<FleetParts<Tokio>> {
     tracing_subscriber::fmt().json().with_writer(std::io::stderr).init();
     let at = section.listens();
     let named = |error: std::io::Error| std::io::Error::new(error.kind(), format!("fleet: {at}: {error}"));
@@ -191,5 +275,5 @@
             "member changed"
         );
     });
-    Ok(FleetParts { config: member, socket, listener, from: at.ip(), watcher, budget })
+    Ok(FleetParts { config: member, socket, listener, from: at.ip(), watcher, budget, accord })
 }
--- a/crates/sidecar/src/operator.rs
+++ b/crates/sidecar/src/operator.rs
@@ -4,6 +4,7 @@
 use crate::purse::Use;
 use cometcroft_budget as budget;
 use cometcroft_budget::{Kind, Whole};
+use cometcroft_consensus as consensus;
 use cometcroft_membership as membership;
 use cometcroft_membership::{Name, Timing};
 use cometcroft_tomlfile::{FileError, Time};
@@ -25,6 +26,70 @@
     pub fleet: Option<FleetSection>,
     /// Budgets of the whole fleet.
     pub budget: Option<BudgetSection>,
+    /// The fleet's plan.
+    pub plan: Option<PlanSection>,
+}
+
+/// `[plan]`.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PlanSection {
+    /// Who agrees: addresses as advertised, three, five or seven, the same in all files.
+    pub keepers: Vec<SocketAddrV4>,
+    /// A process that starts waits for the plan for so long before it takes clients.
+    #[serde(default = "wait")]
+    pub wait: Time,
+    /// How often each asks another where it stands.
+    #[serde(default = "gossip")]
+    pub gossip: Time,
+}
+
+fn wait() -> Time {
+    Time(0.3, 0.3)
+}
+
+fn gossip() -> Time {
+    Time(0.5, 0.5)
+}
+
+impl PlanSection {
+    fn config(&self, fleet: &FleetSection) -> consensus::Config {
+        let address = fleet.advertise.unwrap_or(fleet.bind);
+        let mut config = consensus::Config::new(&fleet.name, address, self.keepers.clone());
+        config.gossip = self.gossip.exact();
+        config
+    }
+
+    fn check(&self, fleet: Option<&FleetSection>) -> Result<(), (&'static str, String)> {
+        let Some(fleet) = fleet else {
+            return Err(("keepers", "a plan needs a [fleet] beside it".to_owned()));
+        };
+        if self.wait.exact() > Duration::from_secs(10) {
+            return Err(("wait", "must be at most 10s".to_owned()));
+        }
+        let gossip = self.gossip.exact();
+        if gossip < Duration::from_millis(50) || gossip > Duration::from_secs(10) {
+            return Err(("gossip", "must be between 50ms and 10s".to_owned()));
+        }
+        self.config(fleet).check()
+    }
+
+    /// What a sidecar is told of the plan.
+    pub fn told_to(&self, fleet: &FleetSection) -> (consensus::Config, Duration) {
+        (self.config(fleet), self.wait.exact())
+    }
+
+    /// What the section comes to, in a line.
+    pub fn told(&self, fleet: &FleetSection) -> String {
+        let config = self.config(fleet);
+        let own = if config.place().is_some() { "one of them" } else { "not one of them" };
+        format!(
+            "plan of {:016x}: {} keepers, this sidecar {own}; waits {:?} for it at a start",
+            config.digest,
+            config.keepers.len(),
+            self.wait.exact(),
+        )
+    }
 }
 
 /// `[budget]`.
@@ -166,6 +231,13 @@
                 FileError::at(file, text, at, field, &reason)
             })?;
         }
+        if let Some(plan) = &operator.plan {
+            plan.check(operator.fleet.as_ref()).map_err(|(field, reason)| {
+                let from = text.find("[plan]").unwrap_or(0);
+                let at = text[from..].find(&format!("\n{field}")).map_or(from, |at| from + at + 1);
+                FileError::at(file, text, at, field, &reason)
+            })?;
+        }
         Ok(operator)
     }
 }
--- /dev/null
+++ b/crates/sidecar/src/words.rs
@@ -0,0 +1,176 @@
+//! Operators' words at the door: `/ops/plan` and what lies under it. A word's own fields come as a query, a text as the
+//! body; every refusal is JSON with a code, what is wrong, and what can be done.
+
+use crate::accord::{Accord, Failure};
+use crate::directory::Directory;
+use crate::http::server::{Request, Status};
+use cometcroft_consensus::ConsensusError;
+use cometcroft_plan::{Answer, What, Word};
+use cometcroft_platform::Platform;
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+/// A permit is shown as overdue after so many seconds, if the word does not say.
+const FOR_S: u32 = 300;
+
+/// What a path under `/ops/plan` asks for; else the method that would do, if there is such a path.
+pub fn method(path: &[u8]) -> Option<&'static str> {
+    match path {
+        b"" => Some("GET"),
+        b"/revision" => Some("GET"),
+        b"/read" | b"/refound" | b"/propose" | b"/rollback" | b"/pin" | b"/release" | b"/halt"
+        | b"/resume" | b"/back" | b"/drain" | b"/restart" | b"/return" | b"/force" => Some("PUT"),
+        _ => None,
+    }
+}
+
+type Query = BTreeMap<String, String>;
+
+fn query(request: &Request) -> Query {
+    let text = String::from_utf8_lossy(&request.target).into_owned();
+    let pairs = text.split_once('?').map(|(_, query)| query.to_owned()).unwrap_or_default();
+    let plain = |text: &str| percent(&text.replace('+', " "));
+    pairs.split('&').filter_map(|pair| pair.split_once('=')).map(|(k, v)| (plain(k), plain(v))).collect()
+}
+
+/// Percent-encoded bytes of a query's value.
+fn percent(text: &str) -> String {
+    let (bytes, mut out, mut at) = (text.as_bytes(), Vec::with_capacity(text.len()), 0);
+    while at < bytes.len() {
+        let two = bytes.get(at + 1..at + 3).and_then(|two| std::str::from_utf8(two).ok());
+        match (bytes[at], two.and_then(|two| u8::from_str_radix(two, 16).ok())) {
+            (b'%', Some(byte)) => {
+                out.push(byte);
+                at += 3;
+            }
+            (byte, _) => {
+                out.push(byte);
+                at += 1;
+            }
+        }
+    }
+    String::from_utf8_lossy(&out).into_owned()
+}
+
+fn bad(field: &str, reason: &str) -> (Status, Value) {
+    let remedy = "mend the call as the text says; docs/fleet-plan.md lists the calls";
+    (Status::BadRequest, json!({"code": "door.call", "text": format!("{field}: {reason}"), "do": remedy}))
+}
+
+fn number<T: std::str::FromStr>(query: &Query, field: &str) -> Result<Option<T>, (Status, Value)> {
+    match query.get(field) {
+        None => Ok(None),
+        Some(text) => text.parse().map(Some).map_err(|_| bad(field, "is no number that fits")),
+    }
+}
+
+fn wanted<T: std::str::FromStr>(query: &Query, field: &str) -> Result<T, (Status, Value)> {
+    number(query, field)?.ok_or_else(|| bad(field, "is missing"))
+}
+
+fn refused(failure: &Failure) -> (Status, Value) {
+    let status = match failure {
+        failure if failure.unknown() => Status::GatewayTimeout,
+        Failure::Log(ConsensusError::NotFounded | ConsensusError::Crowded(_)) => Status::Unavailable,
+        _ => Status::Conflict,
+    };
+    (status, failure.json())
+}
+
+/// Answers a call under `/ops/plan`.
+pub async fn answer<P: Platform>(
+    accord: &Rc<Accord<P>>,
+    directory: &Directory,
+    path: &[u8],
+    request: &Request,
+) -> (Status, String) {
+    let (status, value) = match said(accord, directory, path, request).await {
+        Ok(value) => (Status::Ok, value),
+        Err(refused) => refused,
+    };
+    let text = match value {
+        Value::String(text) => text,
+        value => format!("{value}\n"),
+    };
+    (status, text)
+}
+
+async fn said<P: Platform>(
+    accord: &Rc<Accord<P>>,
+    directory: &Directory,
+    path: &[u8],
+    request: &Request,
+) -> Result<Value, (Status, Value)> {
+    let query = query(request);
+    let text = || String::from_utf8(request.body.to_vec()).map_err(|_| bad("body", "is no UTF-8"));
+    let permit = |query: &Query| wanted::<u32>(query, "permit");
+    let word = match path {
+        b"" => return Ok(accord.json()),
+        b"/revision" => {
+            let number = wanted(&query, "number")?;
+            return accord.text(number).map(Value::String).map_err(|failure| refused(&failure));
+        }
+        b"/refound" => {
+            let index = accord.found().await.map_err(|failure| refused(&failure))?;
+            return Ok(json!({"founded": true, "index": index}));
+        }
+        b"/read" => Word::Nothing,
+        b"/propose" | b"/release" => {
+            let text = text()?;
+            accord.leaves_enough(&text, &directory.listed()).map_err(|failure| refused(&failure))?;
+            match query.get("waves") {
+                None if path == b"/propose" => Word::Propose { text },
+                None => return Err(bad("waves", "is missing: shares in thousandths, such as 50,250,1000")),
+                Some(_) if path == b"/propose" => return Err(bad("waves", "belongs to /ops/plan/release")),
+                Some(waves) => {
+                    let waves: Result<Vec<u16>, _> =
+                        waves.split(',').map(|wave| wave.trim().parse()).collect();
+                    let waves = waves.map_err(|_| bad("waves", "wants whole numbers with commas"))?;
+                    Word::Release { text, waves }
+                }
+            }
+        }
+        b"/rollback" => {
+            let to = wanted(&query, "to")?;
+            // A revision that was right once may leave too little of what is there now.
+            let text = accord.text(to).map_err(|failure| refused(&failure))?;
+            accord.leaves_enough(&text, &directory.listed()).map_err(|failure| refused(&failure))?;
+            Word::RollBack { to }
+        }
+        b"/pin" => Word::Pin { revision: wanted(&query, "revision")?, on: query.get("off").is_none() },
+        b"/halt" => Word::Halt,
+        b"/resume" => Word::Resume,
+        b"/back" => Word::Back,
+        b"/drain" => {
+            let name: String = wanted(&query, "server")?;
+            let listed = directory.listed();
+            let row = listed.iter().find(|(listed, ..)| *listed == name);
+            let Some((_, zone, ..)) = row else {
+                return Err(bad("server", "no backend server of that name is listed here"));
+            };
+            accord.spares(&name, &listed).map_err(|failure| refused(&failure))?;
+            let (zone, tier) = (zone.clone(), accord.tier());
+            Word::Ask {
+                what: What::Server(name),
+                zone,
+                tier,
+                for_s: number(&query, "for_s")?.unwrap_or(FOR_S),
+            }
+        }
+        b"/restart" => {
+            let (what, zone, tier) = accord.own();
+            Word::Ask { what, zone, tier, for_s: number(&query, "for_s")?.unwrap_or(FOR_S) }
+        }
+        b"/return" => Word::Return { permit: permit(&query)? },
+        b"/force" => Word::Force { permit: permit(&query)? },
+        _ => return Err((Status::NotFound, json!({}))),
+    };
+    let reason = query.get("reason").map(String::as_str).unwrap_or_default();
+    let (expects, id) = (number(&query, "expects")?, number(&query, "id")?);
+    match accord.say(word, reason, expects, id).await {
+        Ok(Answer::Taken { index, number }) => Ok(json!({"taken": true, "index": index, "number": number})),
+        Ok(Answer::Refused(error)) => Err(refused(&error.into())),
+        Err(failure) => Err(refused(&failure)),
+    }
+}
