--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -471,8 +471,10 @@
     fn hear_answers(&mut self) {
         let answers = std::mem::take(&mut *self.answers.lock().unwrap_or_else(PoisonError::into_inner));
         for (at, i, spoken, answer) in answers {
-            let index =
-                answer.as_ref().filter(|a| a.get("taken").is_some()).and_then(|a| a.get("index")?.as_u64());
+            let index = answer
+                .as_ref()
+                .filter(|a| a.get("taken").or(a.get("founded")).is_some())
+                .and_then(|a| a.get("index")?.as_u64());
             let founding = self.seats[i].last.as_ref().and_then(|look| Some(look.plan.as_ref()?.place.0));
             if let (Some(index), Some(founding)) = (index, founding) {
                 self.judge.acknowledged(founding, index, spoken.say);
