--- a/crates/plan/tests/words.rs
+++ b/crates/plan/tests/words.rs
@@ -193,7 +193,7 @@
                 for_s: 9,
             }),
             2 => plan.permits().keys().next().map(|permit| Word::Return { permit: *permit }),
-            3 if rng() % 3 == 0 => Some(Word::Halt),
+            3 if rng().is_multiple_of(3) => Some(Word::Halt),
             4 => Some(Word::Resume),
             5 => {
                 let at = (rng() % 6) as usize;
@@ -221,7 +221,8 @@
         }
         let word = word.or_else(|| steward.word(&plan, Duration::from_millis(100 * step), &all));
         let Some(word) = word else { continue };
-        let (before, expects) = (plan.clone(), (rng() % 5 == 0).then(|| plan.current() + (rng() % 2) as u32));
+        let (before, expects) =
+            (plan.clone(), rng().is_multiple_of(5).then(|| plan.current() + (rng() % 2) as u32));
         (index, id) = (index + 1, id + 1);
         plan.apply(index, &said(id, expects, word.clone()));
         let taken = matches!(plan.answer(Id(id)), Some(Answer::Taken { .. }));
--- a/crates/sidecar/src/accord.rs
+++ b/crates/sidecar/src/accord.rs
@@ -154,6 +154,11 @@
     pub fn new(platform: P, parts: AccordParts, me: &Record, seed: u64) -> Rc<Accord<P>> {
         let AccordParts { config, wait, listener } = parts;
         let generation = me.generation;
+        // Danger: sidecars of one configuration have one seed; two doors that drew one number for two words would have the
+        // second answered with what came of the first.
+        let own =
+            cometcroft_settings::hash(me.name.as_str()) ^ generation.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        let seed = seed ^ own;
         let log = Log::new(config, Time::ZERO, generation, seed);
         Rc::new(Accord {
             origin: platform.now(),
--- a/crates/sidecar/src/words.rs
+++ b/crates/sidecar/src/words.rs
@@ -138,7 +138,7 @@
             accord.leaves_enough(&text, &directory.listed()).map_err(|failure| refused(&failure))?;
             Word::RollBack { to }
         }
-        b"/pin" => Word::Pin { revision: wanted(&query, "revision")?, on: query.get("off").is_none() },
+        b"/pin" => Word::Pin { revision: wanted(&query, "revision")?, on: !query.contains_key("off") },
         b"/halt" => Word::Halt,
         b"/resume" => Word::Resume,
         b"/back" => Word::Back,
--- a/crates/sidecar/tests/common/mod.rs
+++ b/crates/sidecar/tests/common/mod.rs
@@ -1,5 +1,7 @@
 //! What the tests share: one seed for every run, and a configuration.
-#![allow(dead_code)]
+#![allow(dead_code, clippy::disallowed_methods)]
+
+pub mod program;
 
 use proptest::test_runner::{Config, RngSeed};
 
--- /dev/null
+++ b/crates/sidecar/tests/common/program.rs
@@ -0,0 +1,229 @@
+//! The real program beside stand-ins for backend servers and discovery.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+/// What a stand-in received.
+#[derive(Default)]
+pub struct Received {
+    pub connections: AtomicU64,
+    pub requests: AtomicU64,
+    pub probes: AtomicU64,
+    pub open: AtomicU64,
+    pub most: AtomicU64,
+}
+
+impl Received {
+    pub fn of(&self, count: fn(&Received) -> &AtomicU64) -> u64 {
+        count(self).load(Ordering::SeqCst)
+    }
+}
+
+/// One message up to its blank line, without a body.
+fn head(stream: &mut TcpStream) -> Option<String> {
+    let (mut text, mut byte) = (Vec::new(), [0]);
+    while !text.ends_with(b"\r\n\r\n") {
+        match stream.read(&mut byte) {
+            Ok(1) if text.len() < 16384 => text.push(byte[0]),
+            _ => return None,
+        }
+    }
+    Some(String::from_utf8_lossy(&text).into_owned())
+}
+
+/// A stand-in at a port that the system picks; `answer` makes the answer of a request's head.
+pub fn stand_in(
+    answer: impl Fn(&str, &Received) -> String + Send + Sync + 'static,
+) -> (SocketAddr, Arc<Received>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let (at, received) = (listener.local_addr().expect("bound"), Arc::<Received>::default());
+    let (counted, answer) = (received.clone(), Arc::new(answer));
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let Ok(mut stream) = stream else { return };
+            counted.connections.fetch_add(1, Ordering::SeqCst);
+            let (counted, answer) = (counted.clone(), answer.clone());
+            std::thread::spawn(move || {
+                while let Some(asked) = head(&mut stream) {
+                    let answer = answer(&asked, &counted);
+                    if stream.write_all(answer.as_bytes()).is_err() || answer.contains("Connection: close") {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    (at, received)
+}
+
+/// A backend server: each request takes `work`; it serves, or turns away unexamined.
+pub fn backend(work: Duration, extra: &'static str, rejects: bool) -> (SocketAddr, Arc<Received>) {
+    stand_in(move |asked, received| {
+        if asked.starts_with("GET /metrics/load") {
+            received.probes.fetch_add(1, Ordering::SeqCst);
+            let body = r#"{"inflight":1,"queue":0}"#;
+            return format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+        }
+        received.requests.fetch_add(1, Ordering::SeqCst);
+        let open = received.open.fetch_add(1, Ordering::SeqCst) + 1;
+        received.most.fetch_max(open, Ordering::SeqCst);
+        std::thread::sleep(work);
+        received.open.fetch_sub(1, Ordering::SeqCst);
+        match rejects {
+            true => "HTTP/1.1 503 Busy\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n".to_owned(),
+            false => format!("HTTP/1.1 200 OK\r\n{extra}Content-Length: 2\r\n\r\nok"),
+        }
+    })
+}
+
+pub fn list(backends: &[SocketAddr], index: u64) -> String {
+    let row = |(i, at): (usize, &SocketAddr)| {
+        format!(r#"{{"name":"s{i}","address":"{at}","zone":"a","status":"up","weight":1.0,"since_ms":0}}"#)
+    };
+    let rows: Vec<String> = backends.iter().enumerate().map(row).collect();
+    format!(r#"{{"index":{index},"snapshot":true,"endpoints":[{}]}}"#, rows.join(","))
+}
+
+/// A sidecar with a budget, ended with the test.
+pub struct Sidecar {
+    child: Child,
+    listen: SocketAddr,
+    pub ops: SocketAddr,
+    files: PathBuf,
+}
+
+impl Drop for Sidecar {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_dir_all(&self.files);
+    }
+}
+
+pub static NUMBER: AtomicU64 = AtomicU64::new(1);
+
+/// Addresses for so many sidecars: for clients, for operators, for the fleet. Held together until all are picked, so that
+/// no two are equal.
+pub fn places(count: usize) -> Vec<[SocketAddr; 3]> {
+    let bind = || TcpListener::bind("127.0.0.1:0").expect("a port");
+    let held: Vec<[TcpListener; 3]> = (0..count).map(|_| [bind(), bind(), bind()]).collect();
+    held.iter().map(|three| three.each_ref().map(|one| one.local_addr().expect("bound"))).collect()
+}
+
+pub fn ask(at: SocketAddr, text: &str) -> Option<String> {
+    let mut stream = TcpStream::connect(at).ok()?;
+    stream.set_read_timeout(Some(Duration::from_secs(10))).ok()?;
+    stream.write_all(text.as_bytes()).ok()?;
+    let mut answer = String::new();
+    let _ = stream.read_to_string(&mut answer);
+    Some(answer)
+}
+
+impl Sidecar {
+    /// One that shares its wholes with nobody: it is its own keeper.
+    pub fn start(backends: &[SocketAddr], discovery: SocketAddr, probes: bool, wholes: &str) -> Sidecar {
+        let place = places(1)[0];
+        let bind = place[2];
+        let budget = format!("[budget]\nkeepers = [\"{bind}\"]\nlease = \"400ms\"\n{wholes}");
+        Sidecar::begin("n0", place, backends, discovery, probes, &budget)
+    }
+
+    /// One at these addresses (clients, operators, fleet), whose operator's file has these sections beside `[fleet]`.
+    pub fn begin(
+        name: &str,
+        [listen, ops, bind]: [SocketAddr; 3],
+        backends: &[SocketAddr],
+        discovery: SocketAddr,
+        probes: bool,
+        sections: &str,
+    ) -> Sidecar {
+        let number = NUMBER.fetch_add(1, Ordering::SeqCst);
+        let files = std::env::temp_dir().join(format!("cometcroft-program-{}-{number}", std::process::id()));
+        std::fs::create_dir_all(&files).expect("a folder");
+        let mut config = super::config(&listen.to_string(), &discovery.to_string(), &list(backends, 1));
+        config = config.replace("\"name\":\"n0\"", &format!("\"name\":\"{name}\""));
+        if probes {
+            config = config.replace("\"probes\":false", "\"probes\":true");
+        }
+        let seeds = if sections.contains("seeds = ") { "" } else { "seeds = []\n" };
+        let operator = format!("[fleet]\nname = \"f\"\nbind = \"{bind}\"\n{seeds}{sections}");
+        std::fs::write(files.join("config.json"), config).expect("written");
+        std::fs::write(files.join("operator.toml"), operator).expect("written");
+        let child = Command::new(env!("CARGO_BIN_EXE_cometcroft"))
+            .env("LB_CONFIG", files.join("config.json"))
+            .env("LB_OPERATOR", files.join("operator.toml"))
+            .env("LB_OPS", ops.to_string())
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("it starts");
+        Sidecar { child, listen, ops, files }
+    }
+
+    /// Waits until it divides, and holds what of each whole is given without need.
+    pub fn ready(self) -> Sidecar {
+        let began = Instant::now();
+        loop {
+            let text = ask(self.ops, "GET /ops/fleet HTTP/1.1\r\nHost: h\r\n\r\n").unwrap_or_default();
+            let body = text.split("\r\n\r\n").nth(1).unwrap_or_default();
+            let told: serde_json::Value = serde_json::from_str(body).unwrap_or_default();
+            let flag = |name: &str| told["budgets"][name].as_bool();
+            let divides = flag("answered") == Some(true) && flag("waits") == Some(false);
+            if divides && self.request("/up", None).0 == 200 {
+                // Tokens of what nobody needed yet.
+                std::thread::sleep(Duration::from_millis(700));
+                return self;
+            }
+            assert!(began.elapsed() < Duration::from_secs(30), "it has its parts: {text}");
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    }
+
+    /// One request: its status and whether it was told when to come again.
+    pub fn request(&self, path: &str, tenant: Option<&str>) -> (u16, bool) {
+        let number = NUMBER.fetch_add(1, Ordering::SeqCst);
+        let caller = tenant.map(|tenant| format!("X-Caller: {tenant}\r\n")).unwrap_or_default();
+        let text = format!(
+            "GET {path} HTTP/1.1\r\nHost: h\r\nX-Call-Id: {number:016x}\r\nX-Budget: 2500m\r\n{caller}Connection: close\r\n\r\n"
+        );
+        let answer = ask(self.listen, &text).unwrap_or_default();
+        let status = answer.get(9..12).and_then(|status| status.parse().ok()).unwrap_or(0);
+        (status, answer.to_ascii_lowercase().contains("retry-after"))
+    }
+
+    pub fn counter(&self, name: &str) -> u64 {
+        let text = ask(self.listen, "GET /counters HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+        let text = text.unwrap_or_default();
+        let body = text.split("\r\n\r\n").nth(1).unwrap_or_default();
+        let told: serde_json::Value = serde_json::from_str(body).unwrap_or_default();
+        told[name].as_u64().unwrap_or_else(|| panic!("{name} in {body}"))
+    }
+
+    /// Requests side by side, each `path` of its own; how they ended.
+    pub fn at_once(&self, count: usize, tenant: Option<&str>) -> Vec<(u16, bool)> {
+        std::thread::scope(|scope| {
+            let calls: Vec<_> = (0..count)
+                .map(|i| scope.spawn(move || self.request(&format!("/plan/{i}"), tenant)))
+                .collect();
+            calls.into_iter().map(|call| call.join().expect("it ends")).collect()
+        })
+    }
+}
+
+/// Discovery that tells one list and then holds.
+pub fn discovery(backends: Vec<SocketAddr>) -> SocketAddr {
+    stand_in(move |asked, _| {
+        let held = asked.contains("hold_ms=");
+        if held {
+            std::thread::sleep(Duration::from_millis(1500));
+        }
+        let body =
+            if held { r#"{"index":1,"snapshot":false,"endpoints":[]}"#.into() } else { list(&backends, 1) };
+        format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+    })
+    .0
+}
