--- a/crates/emulator/src/agree.rs
+++ b/crates/emulator/src/agree.rs
@@ -13,7 +13,7 @@
 pub fn parts(own: SocketAddrV4, keepers: Vec<SocketAddrV4>, log: cometcroft_consensus::Parts) -> AccordParts {
     let mut config = Config::new("played", own, keepers);
     config.parts = log;
-    AccordParts { config, wait: Duration::from_millis(300), listener: Box::new(|_| ()) }
+    AccordParts { config, wait: Duration::from_millis(300), divides: false, listener: Box::new(|_| ()) }
 }
 
 /// Says a word at a member's door; the entry at which it was taken, or why not.
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -453,6 +453,12 @@
     script.fleet.name = "up".into();
     script.fleet.start = Time(0.0, 0.0);
     script.fleet.seeds = Span(2.0, 2.0);
+    if processes >= 3 {
+        let word =
+            "[fleet]\n[fleet.plan]\nkeepers = 3\n[[word]]\nsay = \"refound\"\nat = \"3s\"\ndoor = \"m1\"\n";
+        let planned = Script::parse(word, "up")?;
+        (script.fleet.plan, script.words) = (planned.fleet.plan, planned.words);
+    }
     let plan = Plan::draw(&script, 1, Some(processes));
     let stop = Arc::new(AtomicBool::new(false));
     let told = stop.clone();
--- a/crates/plan/tests/throttle.rs
+++ b/crates/plan/tests/throttle.rs
@@ -114,3 +114,35 @@
     let tried = throttle.retry(&Wanted { after: late, ..wanted("book") }, 1.0, Duration::from_millis(1));
     assert_eq!(tried, Tried::Counted(1));
 }
+
+#[test]
+fn a_storm_is_said_once_and_ends_by_its_lower_bound() {
+    use cometcroft_consensus::Machine;
+    use cometcroft_plan::{Id, Plan, Said, Steward, Word};
+    let mut plan = Plan::fresh();
+    let mut index = 0;
+    let mut say = |plan: &mut Plan, word: Word| {
+        index += 1;
+        let said =
+            Said { id: Id(index), by: "m".into(), reason: String::new(), unix_ms: 0, expects: None, word };
+        plan.apply(index, &said.bytes());
+    };
+    say(&mut plan, Word::Propose { text: RULES.to_owned() });
+    let mut steward = Steward::default();
+    let mut words = Vec::new();
+    for tick in 0..300u64 {
+        // Retries of 100 first tries in a tenth of a second, at two sidecars: calm, a storm, between both bounds, calm.
+        let retries = [5, 70, 30, 5][tick as usize / 75];
+        steward.counted("a", (50, retries / 2));
+        steward.counted("b", (50, retries - retries / 2));
+        if let Some(word) = steward.word(&plan, Duration::from_millis(tick * 100), &[]) {
+            words.push((tick / 75, word.clone()));
+            say(&mut plan, word.clone());
+            // Said again by another who thinks that it leads: nothing changes.
+            say(&mut plan, word);
+        }
+    }
+    let storm = |on, turn| Word::Storm { on, turn };
+    assert_eq!(words, vec![(1, storm(true, 0)), (3, storm(false, 1))]);
+    assert_eq!(plan.storm(), (false, 2));
+}
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -725,6 +725,8 @@
             // Whose file has another budget is answered by nobody, and is not waited for.
             look.plan = agreed.as_ref().and_then(read_plan);
             look.answered = look.answered.filter(|_| seat.other.rate.is_none());
+            let revision = look.plan.as_ref().map(|plan| format!("  revision {}", plan.in_force.1));
+            let line = format!("{line}{}  door {}", revision.unwrap_or_default(), seat.ops);
             (seat.last, seat.line, seat.part) = (Some(look.clone()), line, part);
             self.judge.look(now, i, &look);
         }
--- a/crates/sidecar/src/accord.rs
+++ b/crates/sidecar/src/accord.rs
@@ -57,6 +57,8 @@
     pub config: Config,
     /// A process that starts waits for the plan for so long before it takes clients.
     pub wait: Duration,
+    /// The budgets divide attempts beyond the first: without that no rule could hold over a cluster.
+    pub divides: bool,
     /// Hears of events.
     pub listener: Listener,
 }
@@ -128,6 +130,7 @@
     zone: String,
     tier: u8,
     wait: Duration,
+    divides: bool,
     /// The entry up to which it is in force here, and the one that was told of last.
     in_force: Cell<u64>,
     noticed: Cell<u64>,
@@ -152,7 +155,7 @@
 impl<P: Platform> Accord<P> {
     /// The plan at a sidecar that starts now, as this member.
     pub fn new(platform: P, parts: AccordParts, me: &Record, seed: u64) -> Rc<Accord<P>> {
-        let AccordParts { config, wait, listener } = parts;
+        let AccordParts { config, wait, divides, listener } = parts;
         let generation = me.generation;
         // Danger: sidecars of one configuration have one seed; two doors that drew one number for two words would have the
         // second answered with what came of the first.
@@ -171,6 +174,7 @@
             zone: me.zone.to_string(),
             tier: me.tier,
             wait,
+            divides,
             in_force: Cell::new(0),
             noticed: Cell::new(0),
             revision: Cell::new(0),
@@ -534,6 +538,10 @@
     pub fn leaves_enough(&self, text: &str, listed: &Listed) -> Result<(), Failure> {
         let content =
             Content::parse(text, "revision").map_err(|error| PlanError::Content(error.to_string()))?;
+        if !content.retries.is_empty() && !self.divides {
+            let reason = "retries: needs [[budget.whole]] with use = \"retries\" in the operator's file";
+            return Err(PlanError::Content(reason.to_owned()).into());
+        }
         let ready = listed.iter().filter(|(.., ready)| *ready);
         let of = ready.clone().count() as u32;
         let left = ready.filter(|(name, zone, group, _)| content.verdict(name, zone, *group) != Verdict::Out);
--- a/crates/sidecar/src/fleet.rs
+++ b/crates/sidecar/src/fleet.rs
@@ -293,7 +293,9 @@
 
     /// Whether an attempt may go out: the first may; further ones by the plan's policies and by the budget.
     pub fn attempts(&self, request: &Request, first: bool, after: Option<Happened>) -> bool {
-        let part = || self.purses.as_ref().map_or(1.0, |purses| purses.share_of_retries());
+        // Danger: a sidecar whose file divides nothing must not take the whole for its part.
+        let alone = 1.0 / f64::from(self.at_work().max(1));
+        let part = || self.purses.as_ref().map_or(alone, |purses| purses.share_of_retries().unwrap_or(alone));
         let allowed = self.accord.as_ref().is_none_or(|accord| accord.attempts(request, first, after, part));
         allowed && (first || self.purses.as_ref().is_none_or(|purses| purses.retries()))
     }
--- a/crates/sidecar/src/main.rs
+++ b/crates/sidecar/src/main.rs
@@ -14,7 +14,7 @@
 use cometcroft_sidecar::fleet::FleetParts;
 use cometcroft_sidecar::lifecycle::Life;
 use cometcroft_sidecar::operator::{BudgetSection, FleetSection, Operator, PlanSection};
-use cometcroft_sidecar::purse::BudgetParts;
+use cometcroft_sidecar::purse::{BudgetParts, Use};
 use cometcroft_sidecar::retune::Control;
 use std::hash::{BuildHasher, RandomState};
 use std::path::PathBuf;
@@ -203,9 +203,11 @@
             Event::Regained => tracing::info!("has parts of the budgets"),
         }),
     });
+    let divides = budget.as_ref().is_some_and(|budget| budget.uses.contains(&Use::Retries));
     let plan = plan.map(|plan| plan.told_to(&section)).map(|(config, wait)| AccordParts {
         config,
         wait,
+        divides,
         listener: Box::new(|event| match event {
             AccordEvent::InForce { revision, index } => tracing::info!(revision, index, "revision in force"),
             AccordEvent::ByFile => tracing::warn!("no plan was heard of in time: serves by its file"),
--- a/crates/sidecar/src/purse.rs
+++ b/crates/sidecar/src/purse.rs
@@ -123,11 +123,11 @@
         self.which(&Use::Retries).is_none_or(|whole| self.take(whole).is_ok())
     }
 
-    /// Its part of the whole of retries now, as a share of it; all of it where that is not divided.
-    pub(crate) fn share_of_retries(&self) -> f64 {
-        let Some(whole) = self.which(&Use::Retries) else { return 1.0 };
+    /// Its part of the whole of retries now, as a share of it, if that is divided.
+    pub(crate) fn share_of_retries(&self) -> Option<f64> {
+        let whole = self.which(&Use::Retries)?;
         let (now, budget) = (self.now(), self.budget.borrow());
-        budget.part(whole, now) as f64 / (budget.config().wholes[whole].size as f64).max(1.0)
+        Some(budget.part(whole, now) as f64 / (budget.config().wholes[whole].size as f64).max(1.0))
     }
 
     /// Whether a probe may go out.
--- a/crates/sidecar/tests/parts.rs
+++ b/crates/sidecar/tests/parts.rs
@@ -247,6 +247,57 @@
     }
 }
 
+#[test]
+fn lists_may_come_indented_whole_and_in_part() {
+    let up = |name| json!({"name": name, "address": "127.0.0.1:7", "status": "up"});
+    let known = json!({"index": 1, "snapshot": true, "endpoints": [up("a"), up("b")]});
+    let drains = json!({"name": "a", "address": "127.0.0.1:7", "status": "draining", "zone": "z"});
+    let news = json!({"index": 2, "snapshot": false, "endpoints": [drains, up("b")]});
+    let pretty = serde_json::to_string_pretty(&news).expect("text");
+    let fresh = || {
+        let directory = Directory::new(vec![], Duration::ZERO, Duration::ZERO, Tokio.unix());
+        directory.take(&known, Tokio.now()).expect("a list");
+        directory
+    };
+    let read = serde_json::from_str(&pretty).expect("JSON");
+    assert_eq!(fresh().take(&read, Tokio.now()).expect("news").entries[0].state, State::Draining);
+    // Broken off behind the first row, and behind its status.
+    let row = pretty.find("\"name\": \"b\"").expect("the second row");
+    let status = pretty.find("\"draining\"").expect("the first row's") + "\"draining\",".len();
+    for (cut, drains) in [(row, 1), (status, 1), (status - 4, 0)] {
+        assert_eq!(fresh().salvage(&pretty.as_bytes()[..cut], Tokio.now()).len(), drains, "cut at {cut}");
+    }
+}
+
+#[test]
+fn what_the_plan_bars_stays_barred_whatever_discovery_says_and_comes_back_as_discovery_has_it() {
+    use cometcroft_plan::Verdict;
+    use std::{cell::Cell, rc::Rc};
+    let directory = Directory::new(vec!["z".into()], Duration::ZERO, Duration::ZERO, Tokio.unix());
+    let verdict = Rc::new(Cell::new(Verdict::Out));
+    let judging = verdict.clone();
+    directory.judge_by(Box::new(
+        move |name, zone, _| {
+            if (name, zone) == ("a", "z") { judging.get() } else { Verdict::Stays }
+        },
+    ));
+    let row = |name, status| json!({"name": name, "address": "127.0.0.1:7", "zone": "z", "status": status, "weight": 2.0});
+    let list = |index: u32, status| json!({"index": index, "snapshot": true, "endpoints": [row("a", status), row("b", "up")]});
+    let news = directory.take(&list(1, "up"), Tokio.now()).expect("a list");
+    assert_eq!((news.entries[0].state, news.entries[1].state), (State::Draining, State::Ready));
+    let open = |id| directory.open(UpstreamId(id), Tokio.now());
+    assert!(!open(0) && open(1), "a bar has no grace, and bars nobody else");
+    assert!(directory.judge().is_empty(), "nothing has changed");
+    verdict.set(Verdict::Share(0.5));
+    let back = directory.judge();
+    assert_eq!((back.len(), back[0].state, back[0].weight), (1, State::Ready, 1.0));
+    assert!(open(0));
+    // Discovery is stricter: no verdict opens what it drains.
+    directory.take(&list(2, "draining"), Tokio.now()).expect("a list");
+    verdict.set(Verdict::Stays);
+    assert_eq!(directory.judge()[0].state, State::Draining);
+}
+
 #[test]
 fn the_directory_holds_only_what_is_listed() {
     let directory = Directory::new(vec![], Duration::ZERO, Duration::ZERO, Tokio.unix());
