--- a/crates/sidecar/tests/fleet.rs
+++ b/crates/sidecar/tests/fleet.rs
@@ -102,6 +102,12 @@
             std::thread::sleep(std::time::Duration::from_millis(20));
         };
         let sockets = datagram_sockets(child.id());
+        // A fleet alone has no plan.
+        let mut plan = String::new();
+        let mut door = std::net::TcpStream::connect(ops).expect("the door");
+        door.write_all(b"GET /ops/plan HTTP/1.1\r\nHost: h\r\n\r\n").expect("asked");
+        door.read_to_string(&mut plan).expect("answered");
+        assert!(plan.starts_with("HTTP/1.1 404"), "{plan}");
         child.kill().expect("it is there");
         child.wait().expect("it ends");
         assert_eq!(sockets, usize::from(fleet), "{answer}");
