--- a/crates/sidecar/tests/fleet.rs
+++ b/crates/sidecar/tests/fleet.rs
@@ -9,7 +9,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 /// Fleets played side by side, each with five processes or a few more.
-const SIDE_BY_SIDE: usize = 8;
+const SIDE_BY_SIDE: usize = 12;
 
 fn options() -> Options {
     let program = PathBuf::from(env!("CARGO_BIN_EXE_cometcroft"));
