Planned stops wait their turn: a sidecar leaves once its permit is given

Need: a planned stop by the door asks first and waits its turn; until now somebody had to watch for the permit and stop it by hand. Checked: two of four processes asked at once; the second stays while the first is out, names it, and leaves once the first is back, a keeper that came back without memory and was taken in anew. A permit that is given back first makes nobody leave. Change: /ops/plan/restart?leave=1 (words.rs), Accord::granted.

--- a/crates/sidecar/src/accord.rs
+++ b/crates/sidecar/src/accord.rs
@@ -441,6 +441,24 @@
         (what, self.zone.clone(), self.tier)
     }
 
+    /// Where clock and tasks come from.
+    pub fn platform(&self) -> &P {
+        &self.platform
+    }
+
+    /// Waits until a permit is given, or is no more.
+    pub async fn granted(&self, permit: u32) -> bool {
+        loop {
+            let applied = self.applied.notified();
+            match self.log.borrow().machine().permits().get(&permit) {
+                None => return false,
+                Some(permit) if permit.state != PermitState::Waits => return true,
+                Some(_) => {}
+            }
+            applied.await;
+        }
+    }
+
     /// Waits until a plan is known, or not any longer.
     pub async fn first(&self) {
         let until = self.platform.now() + self.wait;
--- a/crates/sidecar/src/door.rs
+++ b/crates/sidecar/src/door.rs
@@ -199,7 +199,7 @@
             Call::Plan => match self.fleet.as_ref().and_then(|fleet| fleet.accord()) {
                 Some(accord) => {
                     let path = request.path().strip_prefix(b"/ops/plan").unwrap_or_default();
-                    words::answer(accord, &self.directory, path, request).await
+                    words::answer(accord, &self.directory, &self.life, path, request).await
                 }
                 None => (Status::NotFound, String::new()),
             },
--- a/crates/sidecar/src/words.rs
+++ b/crates/sidecar/src/words.rs
@@ -4,6 +4,7 @@
 use crate::accord::{Accord, Failure};
 use crate::directory::Directory;
 use crate::http::server::{Request, Status};
+use crate::lifecycle::Life;
 use cometcroft_consensus::ConsensusError;
 use cometcroft_plan::{Answer, What, Word};
 use cometcroft_platform::Platform;
@@ -82,10 +83,11 @@
 pub async fn answer<P: Platform>(
     accord: &Rc<Accord<P>>,
     directory: &Directory,
+    life: &Rc<Life<P>>,
     path: &[u8],
     request: &Request,
 ) -> (Status, String) {
-    let (status, value) = match said(accord, directory, path, request).await {
+    let (status, value) = match said(accord, directory, life, path, request).await {
         Ok(value) => (Status::Ok, value),
         Err(refused) => refused,
     };
@@ -96,9 +98,21 @@
     (status, text)
 }
 
+/// A planned stop: this sidecar leaves, as after SIGTERM, once its permit is given; never if it is given back first.
+fn leave_in_turn<P: Platform>(accord: &Rc<Accord<P>>, life: &Rc<Life<P>>, permit: u32) {
+    let (accord, life) = (accord.clone(), life.clone());
+    let platform = accord.platform().clone();
+    platform.detach(async move {
+        if accord.granted(permit).await {
+            life.begin();
+        }
+    });
+}
+
 async fn said<P: Platform>(
     accord: &Rc<Accord<P>>,
     directory: &Directory,
+    life: &Rc<Life<P>>,
     path: &[u8],
     request: &Request,
 ) -> Result<Value, (Status, Value)> {
@@ -169,7 +183,12 @@
     let reason = query.get("reason").map(String::as_str).unwrap_or_default();
     let (expects, id) = (number(&query, "expects")?, number(&query, "id")?);
     match accord.say(word, reason, expects, id).await {
-        Ok(Answer::Taken { index, number }) => Ok(json!({"taken": true, "index": index, "number": number})),
+        Ok(Answer::Taken { index, number }) => {
+            if path == b"/restart" && query.contains_key("leave") {
+                leave_in_turn(accord, life, number);
+            }
+            Ok(json!({"taken": true, "index": index, "number": number}))
+        }
         Ok(Answer::Refused(error)) => Err(refused(&error.into())),
         Err(failure) => Err(refused(&failure)),
     }
--- a/crates/sidecar/tests/common/program.rs
+++ b/crates/sidecar/tests/common/program.rs
@@ -164,6 +164,11 @@
         Sidecar { child, listen, ops, files }
     }
 
+    /// Whether its process has ended.
+    pub fn ended(&mut self) -> bool {
+        self.child.try_wait().is_ok_and(|status| status.is_some())
+    }
+
     /// Waits until it divides, and holds what of each whole is given without need.
     pub fn ready(self) -> Sidecar {
         let began = Instant::now();
--- a/crates/sidecar/tests/plan.rs
+++ b/crates/sidecar/tests/plan.rs
@@ -11,6 +11,8 @@
 
 /// Three keepers and one more, round these backend servers.
 struct Fleet {
+    /// Starts one, as it was started first.
+    start: Box<dyn Fn(usize) -> Sidecar>,
     sidecars: Vec<Sidecar>,
     servers: Vec<(SocketAddr, Arc<Received>)>,
 }
@@ -26,10 +28,10 @@
             "seeds = [{keepers}]\nlongest_pause = \"1s\"\n[plan]\nkeepers = [{keepers}]\n{}",
             sections.replace("KEEPERS", &keepers)
         );
-        let start = |(i, place): (usize, &[SocketAddr; 3])| {
-            Sidecar::begin(&format!("n{i}"), *place, &all, discovery, false, &sections)
-        };
-        Fleet { sidecars: places.iter().enumerate().map(start).collect(), servers }
+        let start =
+            move |i: usize| Sidecar::begin(&format!("n{i}"), places[i], &all, discovery, false, &sections);
+        let sidecars = (0..4).map(&start).collect();
+        Fleet { start: Box::new(start), sidecars, servers }
     }
 
     /// A call at a door: the status and what it answers.
@@ -168,3 +170,35 @@
     let (_, told) = fleet.call(1, "GET", "", "");
     assert!(told["retries_barred"].as_u64().is_some_and(|barred| barred > 0), "{told}");
 }
+
+#[test]
+fn planned_stops_wait_their_turn_until_the_one_before_is_back() {
+    let mut fleet = Fleet::start(false, "").founded();
+    let permits = [2, 3].map(|door| fleet.say(door, "/restart?leave=1&reason=new+version", ""));
+    assert!(permits[0] < permits[1]);
+    let leaves = |fleet: &mut Fleet, door: usize| {
+        let began = Instant::now();
+        while !fleet.sidecars[door].ended() {
+            assert!(
+                began.elapsed() < Duration::from_secs(40),
+                "{door} leaves: {:?}",
+                fleet.call(0, "GET", "", "")
+            );
+            std::thread::sleep(Duration::from_millis(50));
+        }
+    };
+    leaves(&mut fleet, 2);
+    // One is out: the other has to wait, and says for whom.
+    std::thread::sleep(Duration::from_millis(1500));
+    assert!(!fleet.sidecars[3].ended(), "two out at once");
+    let (_, told) = fleet.call(0, "GET", "", "");
+    let waits = told["permits"].as_array().and_then(|all| all.iter().find(|it| it["number"] == permits[1]));
+    let waits = waits.and_then(|it| it["waits_for"].as_str()).unwrap_or_default().to_owned();
+    assert!(waits.contains("n2"), "{told}");
+    // The first is back, a keeper without memory: it is taken in anew, its permit goes back, and the next one leaves.
+    fleet.sidecars[2] = (fleet.start)(2);
+    leaves(&mut fleet, 3);
+    fleet.until("the keeper has its seat again", |fleet| {
+        fleet.call(2, "GET", "", "").1["log"]["seated"] == true
+    });
+}
