The plan counts broken invariants and words it can't read; a 20 KB text in the test

Need: what must hold is asserted in debug builds and counted in release; the plan asserted alone, and passed over words that it can't read without a trace. Texts far longer than a datagram go by connections of their own and had no test. Result: unread_words and invariants_broken at the door; a text of 21 KB in force on four processes.

--- a/crates/plan/src/plan.rs
+++ b/crates/plan/src/plan.rs
@@ -153,6 +153,8 @@
 pub struct Plan {
     held: Held,
     parts: Parts,
+    broken: u64,
+    unread: u64,
     /// Contents as read, by digest.
     read: RefCell<BTreeMap<u64, Rc<Content>>>,
 }
@@ -183,8 +185,10 @@
 
     fn apply(&mut self, index: u64, word: &[u8]) {
         self.held.index = index;
-        if let Some(said) = Said::read(word) {
-            self.said(index, said);
+        match Said::read(word) {
+            Some(said) => self.said(index, said),
+            // Danger: whoever reads it does something that this one does not; it is counted and shown, not hidden.
+            None => self.unread += 1,
         }
         self.check();
     }
@@ -533,14 +537,25 @@
     }
 
     /// What must hold after each word.
-    fn check(&self) {
+    fn check(&mut self) {
         let held = &self.held;
-        debug_assert!(held.revisions.contains_key(&held.current), "what is in force is kept");
-        debug_assert!(held.revisions.values().all(|revision| held.texts.contains_key(&revision.digest)));
-        debug_assert!(held.revisions.len() <= REVISIONS + 1 && held.permits.len() <= PERMITS);
-        debug_assert!(held.answers.len() <= ANSWERS);
+        let kept = held.revisions.contains_key(&held.current)
+            && held.revisions.values().all(|revision| held.texts.contains_key(&revision.digest));
+        let bounded = held.revisions.len() <= REVISIONS + 1
+            && held.permits.len() <= PERMITS
+            && held.answers.len() <= ANSWERS;
         let release = held.release.as_ref();
-        debug_assert!(release.is_none_or(|it| it.wave >= 1 && it.wave as usize <= it.waves.len()));
+        let under_way = release.is_none_or(|it| {
+            it.wave >= 1 && it.wave as usize <= it.waves.len() && held.revisions.contains_key(&it.revision)
+        });
+        let fits = kept && bounded && under_way;
+        self.broken += u64::from(!fits);
+        debug_assert!(fits, "kept {kept}, bounded {bounded}, under way {under_way}");
+    }
+
+    /// Invariants that did not hold, and words that this version can't read.
+    pub fn counted(&self) -> (u64, u64) {
+        (self.broken, self.unread)
     }
 }
 
--- a/crates/sidecar/src/accord.rs
+++ b/crates/sidecar/src/accord.rs
@@ -664,6 +664,7 @@
             "log": status, "revision": self.revision.get(), "in_force_to": self.in_force.get(),
             "current": plan.current(), "revisions": revisions, "permits": permits, "release": release,
             "halted_by": plan.halted(), "storm": plan.storm().0, "retries_barred": self.barred.get(),
+            "unread_words": plan.counted().1, "invariants_broken": plan.counted().0,
             "keeper": keeper, "at_revision": by_revision, "behind": behind,
         })
     }
--- a/crates/sidecar/tests/plan.rs
+++ b/crates/sidecar/tests/plan.rs
@@ -145,6 +145,10 @@
         fleet.call(2, "PUT", "/propose", "version = 1\n[[server]]\nzone = \"a\"\nshare = 0.0\n");
     assert_eq!((status, told["code"].as_str()), (409, Some("plan.too-little-left")), "{told}");
     assert_eq!(fleet.call(0, "GET", "/rollback", "").0, 405);
+    // A text far longer than a datagram goes the same way.
+    let long = format!("version = 1\nattempts = 1\n{}", "# why it is so\n".repeat(1400));
+    let revision = fleet.say(3, "/propose", &long);
+    fleet.in_force(revision);
     let back = fleet.say(2, "/rollback?to=0&reason=storm+over", "");
     fleet.in_force(back);
     assert!(fleet.load(10).iter().sum::<u64>() > 45, "three again");
