What was confirmed before a founding confirms nothing after it

Cause, found by reading: sidecars told the keepers the entry that is in force without its founding, and a lower number counted as an older word. After a founding from a copy with fewer entries, one that had confirmed more would count as having confirmed entries that it never saw, so a server could be called clear with it still sending; and a founding that ends at the same index was no news. Lines at fault: Accord::heard, Accord::news and Accord::meet in sidecar/src/accord.rs. Result: words are ordered by start, founding and index; another founding's confirm nothing; news is another place, not another index.

--- a/crates/sidecar/src/accord.rs
+++ b/crates/sidecar/src/accord.rs
@@ -4,7 +4,7 @@
 
 use crate::http::server::Request;
 use cometcroft::Settings;
-use cometcroft_consensus::{Config, ConsensusError, Log, Status, Time};
+use cometcroft_consensus::{Config, ConsensusError, Log, Place, Status, Time};
 use cometcroft_membership::{Membership, Record};
 use cometcroft_plan::{
     Answer, Content, Happened, Id, PermitState, Plan, PlanError, Presence, Said, Standing, Steward, Throttle,
@@ -103,12 +103,27 @@
 struct Told {
     name: String,
     generation: u64,
+    /// The founding that `index` is of.
+    founding: u64,
     index: u64,
     revision: u32,
     ready: bool,
     tries: (u64, u64),
 }
 
+impl Told {
+    /// Which of two words of one sidecar is the later. Danger: after a founding the same entry has a lower number, or
+    /// another content under the same one; what was confirmed before it confirms nothing now.
+    fn place(&self) -> (u64, u64, u64) {
+        (self.generation, self.founding, self.index)
+    }
+
+    /// The entry up to which it has put the plan of this founding in force.
+    fn confirms(&self, founding: u64) -> u64 {
+        if self.founding == founding { self.index } else { 0 }
+    }
+}
+
 struct Heard {
     at: Time,
     told: Told,
@@ -132,8 +147,8 @@
     wait: Duration,
     divides: bool,
     /// The entry up to which it is in force here, and the one that was told of last.
-    in_force: Cell<u64>,
-    noticed: Cell<u64>,
+    in_force: Cell<Place>,
+    noticed: Cell<Place>,
     revision: Cell<u32>,
     storm: Cell<bool>,
     /// Something is to be said or told.
@@ -175,8 +190,8 @@
             tier: me.tier,
             wait,
             divides,
-            in_force: Cell::new(0),
-            noticed: Cell::new(0),
+            in_force: Cell::new(Place::default()),
+            noticed: Cell::new(Place::default()),
             revision: Cell::new(0),
             storm: Cell::new(false),
             wake: Notify::new(),
@@ -244,8 +259,7 @@
         let mut heard = self.heard.borrow_mut();
         let known = heard.get(&told.name);
         // Danger: a late word of an older start, or an older word of this one, must not stand for the present.
-        let older = known
-            .is_some_and(|known| (told.generation, told.index) < (known.told.generation, known.told.index));
+        let older = known.is_some_and(|known| told.place() < known.told.place());
         if !older && (known.is_some() || heard.len() < 100_000) {
             heard.insert(told.name.clone(), Heard { at, told });
         }
@@ -259,8 +273,8 @@
 
     /// Whether something was agreed that is not in force here yet.
     pub(crate) fn news(&self) -> bool {
-        let index = self.log.borrow().place().index;
-        let news = index != self.noticed.replace(index);
+        let place = self.log.borrow().place();
+        let news = place != self.noticed.replace(place);
         if news {
             self.applied.notify_waiters();
         }
@@ -272,7 +286,7 @@
         let report = members.report();
         let mut peers = Vec::new();
         let mut standing = vec![self.standing_of_own()];
-        let heard = self.heard.borrow();
+        let (heard, founding) = (self.heard.borrow(), self.log.borrow().place().founding);
         for row in &report.members {
             let presence = match row.state {
                 "alive" | "suspect" => Presence::There,
@@ -291,7 +305,7 @@
                 zone: row.zone.clone(),
                 tier: row.tier,
                 presence,
-                index: known.map_or(0, |known| known.told.index),
+                index: known.map_or(0, |known| known.told.confirms(founding)),
                 ready: known.is_some_and(|known| known.told.ready && known.at + HEARD > now),
             });
         }
@@ -306,11 +320,17 @@
             zone: self.zone.clone(),
             tier: self.tier,
             presence: Presence::There,
-            index: self.in_force.get(),
+            index: self.confirmed(),
             ready: self.is_ready(),
         }
     }
 
+    /// The entry up to which the present founding's plan is in force here.
+    fn confirmed(&self) -> u64 {
+        let (in_force, founding) = (self.in_force.get(), self.log.borrow().place().founding);
+        if in_force.founding == founding { in_force.index } else { 0 }
+    }
+
     fn is_ready(&self) -> bool {
         self.ready.borrow().as_ref().is_none_or(|ready| ready())
     }
@@ -320,7 +340,8 @@
         let told = Told {
             name: self.name.clone(),
             generation: self.generation,
-            index: self.in_force.get(),
+            founding: self.in_force.get().founding,
+            index: self.in_force.get().index,
             revision: self.revision.get(),
             ready: self.is_ready(),
             tries: self.throttle.borrow_mut().tries(),
@@ -338,13 +359,14 @@
             return;
         }
         {
-            let heard = self.heard.borrow();
+            let (heard, founding) = (self.heard.borrow(), self.log.borrow().place().founding);
             for it in self.standing.borrow_mut().iter_mut() {
                 if it.name == self.name {
                     *it = self.standing_of_own();
                 } else if let Some(known) = heard.get(&it.name).filter(|h| h.told.generation == it.generation)
                 {
-                    (it.index, it.ready) = (known.told.index, known.told.ready && known.at + HEARD > now);
+                    let ready = known.told.ready && known.at + HEARD > now;
+                    (it.index, it.ready) = (known.told.confirms(founding), ready);
                 }
             }
         }
@@ -499,19 +521,19 @@
     pub fn put_in_force(&self) {
         let now = self.now();
         let (revision, content) = self.content();
-        let (index, storm) = {
+        let (place, storm) = {
             let log = self.log.borrow();
-            (log.place().index, log.machine().storm().0)
+            (log.place(), log.machine().storm().0)
         };
         self.throttle.borrow_mut().change(content, storm, now);
         if self.storm.replace(storm) != storm {
             (self.listener)(AccordEvent::Storm(storm));
         }
-        let before = self.in_force.replace(index);
+        let before = self.in_force.replace(place);
         if self.revision.replace(revision) != revision {
-            (self.listener)(AccordEvent::InForce { revision, index });
+            (self.listener)(AccordEvent::InForce { revision, index: place.index });
         }
-        if before != index {
+        if before != place {
             self.next_tell.set(now);
             self.wake.notify_one();
         }
@@ -596,7 +618,7 @@
 
     /// The entry up to which the plan is in force here, and the revision.
     pub fn stands(&self) -> (u64, u32) {
-        (self.in_force.get(), self.revision.get())
+        (self.in_force.get().index, self.revision.get())
     }
 
     /// Where the plan stands, for operators.
@@ -607,7 +629,7 @@
         let standing = self.standing.borrow();
         let heard = self.heard.borrow();
         // Only keepers hear where all stand.
-        let keeper = log.config().place().is_some();
+        let (keeper, founding) = (log.config().place().is_some(), log.place().founding);
         let mut by_revision: BTreeMap<u32, usize> = BTreeMap::new();
         let mut behind = Vec::new();
         if keeper {
@@ -616,7 +638,7 @@
                 if let Some(known) = known {
                     *by_revision.entry(known.told.revision).or_default() += 1;
                 }
-                let told = known.map_or(0, |known| known.told.index);
+                let told = known.map_or(0, |known| known.told.confirms(founding));
                 if told < status.index {
                     let state =
                         if it.presence == Presence::There { "there" } else { "gone, may still serve" };
@@ -642,7 +664,9 @@
                         let held = self.steward.borrow().holds_up(plan, number, &standing);
                         held.iter()
                             .filter(|held| {
-                                heard.get(&held.name).is_none_or(|known| known.told.index < status.index)
+                                heard
+                                    .get(&held.name)
+                                    .is_none_or(|known| known.told.confirms(founding) < status.index)
                             })
                             .map(|held| held.name.as_str())
                             .take(16)
@@ -661,7 +685,7 @@
                 "waved": plan.waved()})
         });
         json!({
-            "log": status, "revision": self.revision.get(), "in_force_to": self.in_force.get(),
+            "log": status, "revision": self.revision.get(), "in_force_to": self.in_force.get().index,
             "current": plan.current(), "revisions": revisions, "permits": permits, "release": release,
             "halted_by": plan.halted(), "storm": plan.storm().0, "retries_barred": self.barred.get(),
             "unread_words": plan.counted().1, "invariants_broken": plan.counted().0,
@@ -677,3 +701,22 @@
     }
     Ok(())
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn told(generation: u64, founding: u64, index: u64) -> Told {
+        let name = "m".to_owned();
+        Told { name, generation, founding, index, revision: 0, ready: true, tries: (0, 0) }
+    }
+
+    #[test]
+    fn what_was_confirmed_before_a_founding_confirms_nothing_after_it() {
+        // The copy that was founded from had fewer entries than this one had confirmed.
+        let (before, after) = (told(1, 1, 500), told(1, 2, 400));
+        assert!(after.place() > before.place(), "the lower number is the later word");
+        assert_eq!((before.confirms(2), after.confirms(2)), (0, 400));
+        assert!(told(2, 1, 1).place() > after.place(), "a later start is later whatever it has read");
+    }
+}
