Tests of real processes: a loopback address for each, so that no two fleets meet

Ports were picked, let go of and bound later, and four such tests run side by side: another test's process had the door's port. Lines at fault: places in crates/sidecar/tests/common/program.rs. Change: each sidecar of these tests has an address of its own, which nobody else binds or connects from.

--- a/crates/sidecar/tests/common/program.rs
+++ b/crates/sidecar/tests/common/program.rs
@@ -107,12 +107,20 @@
 
 pub static NUMBER: AtomicU64 = AtomicU64::new(1);
 
-/// Addresses for so many sidecars: for clients, for operators, for the fleet. Held together until all are picked, so that
-/// no two are equal.
+static PLACES: AtomicU64 = AtomicU64::new(0);
+
+/// Addresses for so many sidecars: for clients, for operators, for the fleet. Danger: a port that the system has picked and
+/// that was let go of it may pick again for another test's process before ours has it, and two fleets would meet; so each
+/// sidecar has a loopback address of its own.
 pub fn places(count: usize) -> Vec<[SocketAddr; 3]> {
-    let bind = || TcpListener::bind("127.0.0.1:0").expect("a port");
-    let held: Vec<[TcpListener; 3]> = (0..count).map(|_| [bind(), bind(), bind()]).collect();
-    held.iter().map(|three| three.each_ref().map(|one| one.local_addr().expect("bound"))).collect()
+    let place = || {
+        let (id, number) = (std::process::id(), PLACES.fetch_add(1, Ordering::SeqCst));
+        let ip = [127, 20 + (id % 70) as u8, (id / 70 % 250) as u8, 1 + (number % 250) as u8];
+        // Held together until all are picked, so that no two are equal.
+        let held = [0; 3].map(|port| TcpListener::bind(SocketAddr::from((ip, port))).expect("a port"));
+        held.map(|one| one.local_addr().expect("bound"))
+    };
+    (0..count).map(|_| place()).collect()
 }
 
 pub fn ask(at: SocketAddr, text: &str) -> Option<String> {
