One answer to where a sidecar stands; fields that nobody read are gone

Need, found by reading the change again: the leader and the view worked out a sidecar's standing by the same lines twice; a message carried an epoch and an answer a time that nobody read; one function only wrapped another. No behaviour changes. Change: Heard::stands in accord.rs; Stand without its epoch (nothing of it is released yet); Log::take gone.

--- a/crates/consensus/src/log.rs
+++ b/crates/consensus/src/log.rs
@@ -327,8 +327,8 @@
     }
 
     fn stand(&mut self, to: SocketAddrV4, wants: bool) {
-        let (at, epoch) = (self.place(), self.council.epoch);
-        self.send(to, &Body::Stand { at, epoch, wants });
+        let at = self.place();
+        self.send(to, &Body::Stand { at, wants });
     }
 
     /// Another, nearby three times of four.
@@ -388,7 +388,7 @@
             }
             Step::Founded(council) => {
                 self.founder = None;
-                self.take(now, Item::Council(council));
+                self.learn(now, vec![Item::Council(council)]);
                 self.founded = Some(Ok(self.place()));
             }
             Step::Failed(error) => {
@@ -453,7 +453,7 @@
         for (index, item) in items {
             let last = self.chain.last().index;
             if index == last + 1 {
-                self.take(now, item);
+                self.learn(now, vec![item]);
             } else if index <= last {
                 // It was learned of others before.
                 let same = self.chain.entry(index).is_none_or(|known| *known == item);
@@ -463,11 +463,7 @@
         }
     }
 
-    /// The next entry.
-    fn take(&mut self, now: Time, item: Item) {
-        self.learn(now, vec![item]);
-    }
-
+    /// The next entries.
     fn learn(&mut self, now: Time, items: Vec<Item>) {
         let from = self.chain.last();
         for item in items {
@@ -565,7 +561,7 @@
                     self.agree(now);
                 }
             }
-            Body::Stand { at, wants, .. } => {
+            Body::Stand { at, wants } => {
                 if let Some(place) = place {
                     self.applicants.insert(place, (start, at, now));
                 }
--- a/crates/consensus/src/message.rs
+++ b/crates/consensus/src/message.rs
@@ -38,7 +38,7 @@
     /// A word to be agreed on.
     Say(Vec<u8>),
     /// Where it stands.
-    Stand { at: Place, epoch: Epoch, wants: bool },
+    Stand { at: Place, wants: bool },
     /// Entries after a place.
     Entries { after: u64, sum: u64, items: Vec<Item> },
     /// A piece of a snapshot.
--- a/crates/emulator/src/fleet.rs
+++ b/crates/emulator/src/fleet.rs
@@ -116,8 +116,8 @@
     sharing: Sharing,
 }
 
-/// What came of words: when, which, at which founding of the log, the entry or the reason.
-type Answers = Rc<RefCell<Vec<(Duration, Say, u64, Result<u64, String>)>>>;
+/// What came of words: which, at which founding of the log, the entry or the reason.
+type Answers = Rc<RefCell<Vec<(Say, u64, Result<u64, String>)>>>;
 
 /// What a plan came to.
 #[derive(Debug, Clone, Default, Serialize)]
@@ -285,7 +285,7 @@
         if self.plan.keepers == 0 {
             return;
         }
-        for (_, say, founding, taken) in std::mem::take(&mut *self.answers.borrow_mut()) {
+        for (say, founding, taken) in std::mem::take(&mut *self.answers.borrow_mut()) {
             match taken {
                 Ok(index) => {
                     self.agreed.taken += 1;
@@ -435,12 +435,12 @@
             Doing::Say(i, spoken) => {
                 let Some((pid, fleet)) = &self.seats[i].process else { return };
                 let Some(accord) = fleet.accord().cloned() else { return };
-                let (answers, door, kernel) = (self.answers.clone(), accord.clone(), self.kernel.clone());
+                let (answers, door) = (self.answers.clone(), accord.clone());
                 self.kernel.spawn(*pid, async move {
                     let said = spoken.say;
                     let taken = agree::say(accord, spoken).await;
                     let founding = door.ask(|log| log.place().founding);
-                    answers.borrow_mut().push((time(kernel.now()), said, founding, taken));
+                    answers.borrow_mut().push((said, founding, taken));
                 });
             }
             Doing::Garbage(i, rate) => {
--- a/crates/sidecar/src/accord.rs
+++ b/crates/sidecar/src/accord.rs
@@ -129,6 +129,14 @@
     told: Told,
 }
 
+impl Heard {
+    /// Of this start: what it confirms of this founding, and whether it takes clients.
+    fn stands(&self, generation: u64, founding: u64, now: Time) -> Option<(u64, bool)> {
+        let ready = self.told.ready && self.at + HEARD > now;
+        (self.told.generation == generation).then(|| (self.told.confirms(founding), ready))
+    }
+}
+
 /// Backend servers as a door's own list has them: name, zone, group, and whether it is ready.
 pub type Listed = Vec<(String, String, usize, bool)>;
 
@@ -298,15 +306,16 @@
             {
                 peers.push((address, row.zone == self.zone));
             }
-            let known = heard.get(&row.name).filter(|known| known.told.generation == row.generation);
+            let known = heard.get(&row.name).and_then(|known| known.stands(row.generation, founding, now));
+            let (index, ready) = known.unwrap_or_default();
             standing.push(Standing {
                 name: row.name.clone(),
                 generation: row.generation,
                 zone: row.zone.clone(),
                 tier: row.tier,
                 presence,
-                index: known.map_or(0, |known| known.told.confirms(founding)),
-                ready: known.is_some_and(|known| known.told.ready && known.at + HEARD > now),
+                index,
+                ready,
             });
         }
         self.standing.replace(standing);
@@ -363,10 +372,10 @@
             for it in self.standing.borrow_mut().iter_mut() {
                 if it.name == self.name {
                     *it = self.standing_of_own();
-                } else if let Some(known) = heard.get(&it.name).filter(|h| h.told.generation == it.generation)
+                } else if let Some(stands) =
+                    heard.get(&it.name).and_then(|known| known.stands(it.generation, founding, now))
                 {
-                    let ready = known.told.ready && known.at + HEARD > now;
-                    (it.index, it.ready) = (known.told.confirms(founding), ready);
+                    (it.index, it.ready) = stands;
                 }
             }
         }
