Lists that are pushed are watched, and no failed call hides a change for over 6 s

Cause: the watch waited for the module's Subscribe (discovery.rs, host.subscribed), which the module gives only where lists are asked for (policy.rs, start). Second, after a failed call the next was a watch of up to 4.8 s, made up to ask_within/4 x 1.5 later (3.75 s, 11 s with other settings): 8.5 s and more where 6 s are allowed. Third, a list older than the one held was taken (directory.rs, take). Change: watch.rs, without I/O, says when to call, how long a call may wait and its answer may take; discovery.rs drives it from the start. An older list bars and never un-bars until it has come three times.

--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -8,7 +8,7 @@
 
 mod tokio_rt;
 
-pub use tokio_rt::Tokio;
+pub use tokio_rt::{Local, Tokio};
 
 use std::fmt::Debug;
 use std::future::Future;
--- a/crates/sidecar/src/counters.rs
+++ b/crates/sidecar/src/counters.rs
@@ -101,6 +101,8 @@
     discovery_failures,
     /// Discovery answers that could not be read.
     discovery_bad,
+    /// Lists of an older version than the one held; of those only what they bar was taken.
+    discovery_older,
     /// New configurations taken over.
     reloads,
     /// New configurations that could not be read; the old one was kept.
--- a/crates/sidecar/src/directory.rs
+++ b/crates/sidecar/src/directory.rs
@@ -49,6 +49,27 @@
     pub entries: Vec<Member>,
 }
 
+/// What came of a list.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Taken {
+    /// It was taken.
+    News(News),
+    /// It is older than the one held: only these, which it bars, were taken of it.
+    Older(Vec<Member>),
+    /// It can't be read.
+    Bad,
+}
+
+impl Taken {
+    /// The news, if it was taken.
+    pub fn news(self) -> Option<News> {
+        match self {
+            Taken::News(news) => Some(news),
+            _ => None,
+        }
+    }
+}
+
 impl Directory {
     /// An empty directory; `now` is the module's clock at this moment, and `unix` the time since the Unix epoch.
     pub fn new(zones: Vec<String>, drain_grace: Duration, now: Time, unix: Duration) -> Directory {
@@ -94,21 +115,33 @@
         })
     }
 
-    /// Reads a list in discovery's form and takes it over; nothing is taken of one that can't be read.
-    pub fn take(&self, value: &Value, now: Instant) -> Option<News> {
-        let index = value.get("index")?.as_i64()?;
-        let whole = value.get("snapshot")?.as_bool()?;
-        let parsed: Vec<_> =
-            value.get("endpoints")?.as_array()?.iter().map(|e| self.entry(e)).collect::<Option<_>>()?;
+    /// Reads a list in discovery's form and takes it over, unless it is older than the version `held`; nothing is taken
+    /// of one that can't be read.
+    pub fn take(&self, list: &Value, now: Instant, held: Option<i64>) -> Taken {
+        let read = || {
+            let index = list.get("index")?.as_i64()?;
+            let whole = list.get("snapshot")?.as_bool()?;
+            let rows = list.get("endpoints")?.as_array()?;
+            Some((index, whole, rows, rows.iter().map(|e| self.entry(e)).collect::<Option<Vec<_>>>()?))
+        };
+        let Some((index, whole, rows, parsed)) = read() else { return Taken::Bad };
+        // Danger: an answer that was held up, or a copy of discovery that lags, would un-bar what drains since then.
+        if held.is_some_and(|held| index < held) {
+            return Taken::Older(self.bar(rows, now));
+        }
         let entries = self.book(parsed, whole, now);
         let scope = if whole { ListScope::Complete } else { ListScope::Changes };
-        Some(News { index, scope, entries })
+        Taken::News(News { index, scope, entries })
     }
 
     /// Books the drains that a list told before it broke off, `body` being what has come of it, and hands them on.
     /// Danger: what was written counts as told; but only what binds is taken, as the rest comes again.
     pub fn salvage(&self, body: &[u8], now: Instant) -> Vec<Member> {
-        let told = rows(body);
+        self.bar(&rows(body), now)
+    }
+
+    /// Of these rows, takes only what bars a backend server that is known, and hands it on.
+    fn bar(&self, told: &[Value], now: Instant) -> Vec<Member> {
         let parsed = {
             let known = self.ids.borrow();
             let binds = |(name, _, member): &(&str, _, Member)| {
--- a/crates/sidecar/src/discovery.rs
+++ b/crates/sidecar/src/discovery.rs
@@ -1,13 +1,14 @@
-//! Discovery: the loop that watches the list of backend servers and hands the news to directory and module.
+//! Discovery: the loop that calls it when [`Watch`] says so and hands the news to directory and module.
 
 use crate::counters::count;
-use crate::directory::Directory;
+use crate::directory::{Directory, Taken};
 use crate::exchange::read_answer;
 use crate::fleet::Fleet;
 use crate::http::client::{self, Exchange};
 use crate::lifecycle::Life;
 use crate::session::{Carrier, Host};
-use cometcroft::{Event, ListScope};
+use crate::watch::{Call, Failure, Watch};
+use cometcroft::{Discovery, Event, ListScope, Member, Settings};
 use cometcroft_platform::{Platform, Stream};
 use std::cell::Cell;
 use std::io;
@@ -19,44 +20,41 @@
 
 /// A list may be long; one beyond this is not read.
 const MAX_LIST: usize = 4 << 20;
-/// How long a watch waits at discovery for news, at most. Danger: a connection may fall silent, and until the wait
-/// ends nobody can tell that from a list that does not change.
-const HOLD: Duration = Duration::from_secs(4);
-/// The share of it that is left to chance. Danger: news ends the watches of a whole fleet in one instant, and from then
-/// on all would ask in step.
-const SPREAD: f64 = 0.25;
-/// How long an answer may take beyond that. News counts as told 2 s after the wait, so this leaves time to ask anew.
-const PATIENCE: Duration = Duration::from_millis(800);
 /// A list that has begun goes on within this time. Danger: what is written counts as told, so a drain binds before
 /// the list is whole; this must be well within its grace.
 const STALLED: Duration = Duration::from_millis(80);
-/// News that is owed is asked for again so soon on average, then after twice as long, ...
-const SOON: Duration = Duration::from_millis(50);
-/// ... so many times in all; then the module says when.
-const TRIES: u32 = 4;
 
-/// Where discovery answers. A new configuration may move it while the sidecar runs.
+/// Where and how discovery answers. A new configuration may move it while the sidecar runs.
 #[derive(Debug)]
 pub struct Source {
     address: Cell<SocketAddr>,
+    /// Whether lists are pushed to an agent there, and within what time the settings have them asked for.
+    manner: Cell<(bool, Duration)>,
     moved: Notify,
 }
 
 impl Source {
-    /// Discovery at this address.
-    pub fn new(address: SocketAddr) -> Rc<Source> {
-        Rc::new(Source { address: Cell::new(address), moved: Notify::new() })
+    /// Discovery at this address, asked as these settings say.
+    pub fn new(address: SocketAddr, settings: &Settings) -> Rc<Source> {
+        let manner = Cell::new(manner(settings));
+        Rc::new(Source { address: Cell::new(address), manner, moved: Notify::new() })
     }
 
-    /// From now on discovery is to be asked here.
-    pub fn move_to(&self, address: SocketAddr) {
-        if self.address.replace(address) != address {
+    /// From now on discovery is to be asked here, and as these settings say.
+    pub fn move_to(&self, address: SocketAddr, settings: &Settings) {
+        let changed = self.manner.replace(manner(settings)) != manner(settings);
+        if self.address.replace(address) != address || changed {
             self.moved.notify_one();
         }
     }
 }
 
-/// Watches discovery whenever the module asks for it or discovery has moved, until a call fails. `seed` spreads calls.
+fn manner(settings: &Settings) -> (bool, Duration) {
+    (settings.discovery == Discovery::Push, settings.rules.ask_within)
+}
+
+/// Keeps the list of backend servers as discovery has it, whether lists are asked for or pushed to an agent. `seed`
+/// spreads calls.
 pub async fn watch<C: Carrier>(
     host: Rc<Host<C>>,
     directory: Rc<Directory>,
@@ -67,88 +65,88 @@
     fleet: Option<Rc<Fleet<C::Platform>>>,
 ) {
     let (platform, counters) = (host.platform().clone(), host.counters().clone());
-    let mut rng = fastrand::Rng::with_seed(seed);
+    let mut watch = Watch::new(seed);
+    // The version of the list that is held, and the connection of the last call.
+    let (mut held, mut stream) = (index, None);
     loop {
-        tokio::select! {
-            biased;
-            () = host.subscribed() => {}
-            // Danger: the module may be waiting out the failures of the old address.
-            () = source.moved.notified() => index = None,
+        let (pushed, within) = source.manner.get();
+        watch.settle(pushed, within);
+        if let Some(fleet) = &fleet {
+            fleet.calls().await;
         }
-        // `owed`: so many calls in a row have lost news that may count as told.
-        let (mut stream, mut owed) = (None, 0);
-        // A watch lasts while the next call follows the last answer at once. A call that failed ends it; the module
-        // says when to begin anew, and the last list is kept.
-        loop {
-            if let Some(fleet) = &fleet {
-                fleet.calls().await;
-            }
-            count(&counters.discovery_calls);
-            // Who is owed news hears at once whether there is any.
-            let hold = if owed > 0 { Duration::ZERO } else { HOLD.mul_f64(1.0 - SPREAD * rng.f64()) };
-            let target = match index {
-                Some(index) => format!("/discovery/hosts?from={index}&hold_ms={}", hold.as_millis()),
-                None => "/discovery/hosts".to_owned(),
-            };
-            let mut exchange = Exchange::new(MAX_LIST);
-            let called = tokio::select! {
-                biased;
-                called = platform.timeout(
-                    hold + PATIENCE,
-                    call(&platform, &mut stream, source.address.get(), &target, &mut exchange),
-                ) => Some(called),
-                () = source.moved.notified() => None,
-            };
-            let Some(called) = called else {
+        count(&counters.discovery_calls);
+        let Call { hold, patience } = watch.call(index.is_none());
+        let target = match index {
+            Some(index) => format!("/discovery/hosts?from={index}&hold_ms={}", hold.as_millis()),
+            None => "/discovery/hosts".to_owned(),
+        };
+        let mut exchange = Exchange::new(MAX_LIST);
+        let called = tokio::select! {
+            biased;
+            called = platform.timeout(
+                patience,
+                call(&platform, &mut stream, source.address.get(), &target, &mut exchange),
+            ) => called,
+            () = source.moved.notified() => {
                 // Danger: the old address goes silent soon, and its versions say nothing at the new one, which
-                // is asked for the whole list at once.
-                (stream, index) = (None, None);
-                continue;
-            };
-            let news = match &called {
-                Ok(Ok((body, now))) => {
-                    serde_json::from_slice(body).ok().and_then(|v| directory.take(&v, *now))
-                }
-                _ => None,
-            };
-            if let Some(news) = news {
-                (index, owed) = (Some(news.index), 0);
-                host.tell(Event::Members { scope: news.scope, entries: news.entries });
-                life.tell(|machine, _| machine.listed(!directory.is_empty(), true));
+                // is asked for the whole list at once. Its call is gone: what it brings can't come after this.
+                (stream, index, held) = (None, None, None);
+                watch.moved();
                 continue;
             }
-            stream = None;
-            if called.is_err() {
-                // The connection has fallen silent; another one may not, and the news is due soon.
-                count(&counters.discovery_silent);
-                owed += 1;
-            } else if called.is_ok_and(|called| called.is_ok()) || exchange.begun() {
+        };
+        let failure = match called {
+            Ok(Ok((body, now))) => match serde_json::from_slice(&body).ok() {
+                Some(list) => match directory.take(&list, now, held.filter(|_| !watch.anew())) {
+                    Taken::News(news) => {
+                        (index, held) = (Some(news.index), Some(news.index));
+                        watch.told();
+                        host.tell(Event::Members { scope: news.scope, entries: news.entries });
+                        life.tell(|machine, _| machine.listed(!directory.is_empty(), true));
+                        continue;
+                    }
+                    Taken::Older(bars) => {
+                        count(&counters.discovery_older);
+                        bar(&host, bars);
+                        index = None;
+                        Failure::Older
+                    }
+                    Taken::Bad => Failure::Broken,
+                },
+                None => Failure::Broken,
+            },
+            Ok(Err(_)) if exchange.begun() => Failure::Broken,
+            Ok(Err(_)) => Failure::Refused,
+            Err(_) => Failure::Silent,
+        };
+        stream = None;
+        match failure {
+            // The connection has fallen silent; another one may not, and the news is due soon.
+            Failure::Silent => count(&counters.discovery_silent),
+            Failure::Refused => count(&counters.discovery_failures),
+            Failure::Older => {}
+            Failure::Broken => {
                 // Danger: news that broke off was told all the same: what came of it binds, and the rest is owed.
                 count(&counters.discovery_bad);
-                owed += 1;
-                let entries = directory.salvage(exchange.part(), platform.now());
-                if !entries.is_empty() {
-                    host.tell(Event::Members { scope: ListScope::Changes, entries });
-                }
-            } else {
-                count(&counters.discovery_failures);
-                owed += u32::from(owed > 0);
+                bar(&host, directory.salvage(exchange.part(), platform.now()));
             }
-            if !(1..=TRIES).contains(&owed) {
-                break;
-            }
-            // Danger: news goes to a whole fleet at once and discovery is busy with it, so a call that follows in
-            // the same instant is turned away.
-            let wait = SOON.mul_f64(f64::from(1u32 << (owed - 1)) * (0.5 + rng.f64()));
-            tokio::select! {
-                biased;
-                () = platform.sleep(wait) => {}
-                () = source.moved.notified() => index = None,
+        }
+        tokio::select! {
+            biased;
+            () = platform.sleep(watch.failed(failure)) => {}
+            // Danger: the failures of the old address are not waited out.
+            () = source.moved.notified() => {
+                (index, held) = (None, None);
+                watch.moved();
             }
         }
-        // What the module asked for while a watch was on has been done; it is told now and asks anew.
-        host.unsubscribe();
-        host.tell(Event::DiscoveryRefused);
+    }
+}
+
+/// Tells the module of backend servers that are to get nothing more.
+fn bar<C: Carrier>(host: &Rc<Host<C>>, entries: Vec<Member>) {
+    if !entries.is_empty() {
+        host.tell(Event::Members { scope: ListScope::Changes, entries });
     }
 }
 
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod retune;
 pub mod session;
 pub mod upload;
+pub mod watch;
 pub mod words;
 
 use crate::backend::Pool;
@@ -115,7 +116,7 @@
         Host::new(carrier, config.settings, seed, ORIGIN, counters.clone()).map_err(io::Error::other)?;
     counters.figures.name(&config.net.classes);
     host.tell(Event::Start);
-    let known = directory.take(&config.known, platform.now());
+    let known = directory.take(&config.known, platform.now(), None).news();
     // Danger: beside a predecessor the list as last held is not good enough to serve by, and a watch would wait.
     let index = known.as_ref().map(|known| known.index).filter(|_| config.socket.is_none());
     if let Some(known) = known {
--- a/crates/sidecar/src/retune.rs
+++ b/crates/sidecar/src/retune.rs
@@ -22,7 +22,7 @@
     /// For a sidecar that starts with this configuration.
     pub fn new(config: &Config) -> Rc<Control> {
         Rc::new(Control {
-            source: Source::new(config.discovery),
+            source: Source::new(config.discovery, &config.settings),
             in_force: RefCell::new(config.text.clone()),
             next: RefCell::default(),
             came: Notify::new(),
@@ -43,7 +43,7 @@
             Ok(config) => {
                 count(&counters.reloads);
                 self.in_force.replace(config.text.clone());
-                self.source.move_to(config.discovery);
+                self.source.move_to(config.discovery, &config.settings);
                 self.next.replace(Some(config));
                 self.came.notify_one();
                 Ok(())
--- a/crates/sidecar/src/session/host.rs
+++ b/crates/sidecar/src/session/host.rs
@@ -10,7 +10,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::oneshot;
 
 /// Something that ends later.
 pub type Later<T> = Pin<Box<dyn Future<Output = T>>>;
@@ -47,7 +47,6 @@
     table: RefCell<Table<C::Payload, C::Answer>>,
     waiting: RefCell<HashMap<SessionId, oneshot::Sender<Verdict<C::Answer>>>>,
     running: RefCell<HashMap<SessionId, <C::Platform as Platform>::Task>>,
-    subscribe: Notify,
     counters: Rc<Counters>,
     origin: Instant,
     origin_at: Time,
@@ -68,7 +67,6 @@
             table: RefCell::new(Table::new(settings, seed, counters.clone())?),
             waiting: RefCell::default(),
             running: RefCell::default(),
-            subscribe: Notify::new(),
             counters,
             origin: began,
             origin_at: origin,
@@ -85,17 +83,6 @@
         self.origin_at + self.platform().since(self.origin)
     }
 
-    /// Waits until the module wants to watch discovery.
-    pub async fn subscribed(&self) {
-        self.subscribe.notified().await;
-    }
-
-    /// Drops what the module wanted of discovery until now.
-    pub fn unsubscribe(&self) {
-        let asked = std::pin::pin!(self.subscribe.notified());
-        asked.enable();
-    }
-
     /// What is counted.
     pub fn counters(&self) -> &Rc<Counters> {
         &self.counters
@@ -182,7 +169,6 @@
                     });
                 }
                 Command::CloseIdle(upstream) => self.carrier.close_idle(upstream),
-                Command::Subscribe => self.subscribe.notify_one(),
             }
         }
     }
--- a/crates/sidecar/src/session/table.rs
+++ b/crates/sidecar/src/session/table.rs
@@ -79,8 +79,6 @@
     Probe(UpstreamId),
     /// Close the idle connections to a backend server.
     CloseIdle(UpstreamId),
-    /// Begin to watch discovery.
-    Subscribe,
 }
 
 #[derive(Debug)]
@@ -277,7 +275,8 @@
             Action::SetTimer { after, timer } => self.commands.push(Command::Timer(after, timer)),
             Action::Probe(upstream) => self.commands.push(Command::Probe(upstream)),
             Action::Close(upstream) => self.commands.push(Command::CloseIdle(upstream)),
-            Action::Subscribe => self.commands.push(Command::Subscribe),
+            // Discovery is watched from the start, whether the module would ask or lists are pushed: `watch`.
+            Action::Subscribe => {}
         }
     }
 
--- a/crates/sidecar/tests/common/mod.rs
+++ b/crates/sidecar/tests/common/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, clippy::disallowed_methods)]
 
 pub mod program;
+pub mod story;
 
 use proptest::test_runner::{Config, RngSeed};
 
--- /dev/null
+++ b/crates/sidecar/tests/common/story.rs
@@ -0,0 +1,204 @@
+//! A whole sidecar on loopback: its clients, backend servers and discovery are a few lines each, played by the test
+//! itself, step by step.
+
+use cometcroft_platform::{Local, Platform, Tokio};
+use cometcroft_sidecar::Parts;
+use cometcroft_sidecar::config::Config;
+use cometcroft_sidecar::counters::Counters;
+use cometcroft_sidecar::lifecycle::Life;
+use cometcroft_sidecar::retune::Control;
+use std::cell::RefCell;
+use std::collections::HashSet;
+use std::future::Future;
+use std::io;
+use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::sync::Notify;
+use tokio::task::{JoinHandle, LocalSet, spawn_local};
+
+/// The daemon's platform, but for connections that come up only when the test lets them.
+#[derive(Clone, Default)]
+pub struct Gated(Rc<Gates>);
+
+/// Where connections wait, and how many do.
+#[derive(Default)]
+pub struct Gates {
+    shut: RefCell<HashSet<SocketAddr>>,
+    waits: Notify,
+    opened: Notify,
+}
+
+impl Gates {
+    /// From now on connections to this place wait.
+    pub fn shut(&self, at: SocketAddr) {
+        self.shut.borrow_mut().insert(at);
+    }
+
+    /// Until here; those that wait come up.
+    pub fn open(&self, at: SocketAddr) {
+        self.shut.borrow_mut().remove(&at);
+        self.opened.notify_waiters();
+    }
+
+    /// A connection waits.
+    pub async fn waits(&self) {
+        self.waits.notified().await;
+    }
+}
+
+impl Platform for Gated {
+    type Stream = TcpStream;
+    type Listener = TcpListener;
+    type Datagrams = UdpSocket;
+    type Task = Local;
+
+    fn now(&self) -> Instant {
+        Tokio.now()
+    }
+
+    fn unix(&self) -> Duration {
+        Tokio.unix()
+    }
+
+    fn sleep_until(&self, at: Instant) -> impl Future<Output = ()> + 'static {
+        Tokio.sleep_until(at)
+    }
+
+    fn spawn(&self, task: impl Future<Output = ()> + 'static) -> Local {
+        Tokio.spawn(task)
+    }
+
+    async fn connect(&self, to: SocketAddr) -> io::Result<TcpStream> {
+        while self.0.shut.borrow().contains(&to) {
+            let opened = self.0.opened.notified();
+            self.0.waits.notify_one();
+            opened.await;
+        }
+        Tokio.connect(to).await
+    }
+
+    async fn connect_from(&self, from: IpAddr, to: SocketAddr) -> io::Result<TcpStream> {
+        Tokio.connect_from(from, to).await
+    }
+}
+
+/// A connection's other side, as text.
+pub struct Peer(pub TcpStream);
+
+impl Peer {
+    pub async fn to(sidecar: &Sidecar) -> Peer {
+        Peer(TcpStream::connect(&sidecar.address).await.expect("it listens"))
+    }
+
+    pub async fn say(&mut self, text: &str) {
+        self.0.write_all(text.as_bytes()).await.expect("it reads");
+    }
+
+    /// One message with its body, or what there was of it at the end.
+    pub async fn hear(&mut self) -> String {
+        let mut text = String::new();
+        loop {
+            if let Some(at) = text.find("\r\n\r\n") {
+                let length = text.split("Content-Length: ").nth(1).and_then(|l| l.lines().next());
+                if text.len() >= at + 4 + length.map_or(0, |l| l.parse().expect("a length")) {
+                    return text;
+                }
+            }
+            let mut bytes = [0; 4096];
+            match self.0.read(&mut bytes).await {
+                Ok(n @ 1..) => text.push_str(&String::from_utf8_lossy(&bytes[..n])),
+                _ => return text,
+            }
+        }
+    }
+
+    /// Ends with a reset, whatever was sent or lies unread.
+    pub fn reset(self) {
+        socket2::SockRef::from(&self.0).set_linger(Some(Duration::ZERO)).expect("a socket");
+    }
+
+    /// How it ended: `Ok` after an orderly end, with what came before it.
+    pub async fn end(&mut self) -> io::Result<String> {
+        let mut text = Vec::new();
+        self.0.read_to_end(&mut text).await?;
+        Ok(String::from_utf8_lossy(&text).into_owned())
+    }
+}
+
+pub struct Sidecar {
+    pub address: String,
+    pub backend: TcpListener,
+    pub discovery: TcpListener,
+    pub control: Rc<Control>,
+    pub settings: cometcroft::Settings,
+    pub counters: Rc<Counters>,
+    pub life: Rc<Life<Gated>>,
+    pub gates: Rc<Gates>,
+    pub ops: String,
+    pub ended: JoinHandle<io::Result<()>>,
+}
+
+impl Sidecar {
+    /// Where its one backend server listens.
+    pub fn server(&self) -> SocketAddr {
+        self.backend.local_addr().expect("bound")
+    }
+}
+
+/// Starts a sidecar that knows one backend server and plays a story with it.
+pub fn story<F: Future<Output = ()>>(told: impl FnOnce(Sidecar) -> F) {
+    story_with(|text| text, told);
+}
+
+/// The same with another configuration.
+pub fn story_with<F: Future<Output = ()>>(
+    change: impl FnOnce(String) -> String,
+    told: impl FnOnce(Sidecar) -> F,
+) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    LocalSet::new().block_on(&runtime, async {
+        let any = || TcpListener::bind("127.0.0.1:0");
+        let (backend, discovery) = (any().await.expect("a port"), any().await.expect("a port"));
+        let (listener, door) = (any().await.expect("a port"), any().await.expect("a port"));
+        let at = |listener: &TcpListener| listener.local_addr().expect("an address").to_string();
+        let known = format!(
+            r#"{{"index":1,"snapshot":true,"endpoints":[{{"name":"s","address":"{}","zone":"a","status":"up"}}]}}"#,
+            at(&backend)
+        );
+        let text = change(super::config(&at(&listener), &at(&discovery), &known));
+        let config = Config::parse(&text, |_| None).expect("a configuration");
+        let counters = Rc::new(Counters::default());
+        let platform = Gated::default();
+        let life = Rc::new(Life::new(platform.clone(), config.longest_deadline(), false));
+        let (address, ops, control) = (at(&listener), at(&door), Control::new(&config));
+        let parts = Parts {
+            listener,
+            ops: Some(door),
+            control: control.clone(),
+            life: life.clone(),
+            counters: counters.clone(),
+            fleet: None,
+        };
+        let (settings, gates) = (config.settings.clone(), platform.0.clone());
+        let ended = spawn_local(cometcroft_sidecar::run(platform, config, parts));
+        let told =
+            told(Sidecar { address, ops, backend, discovery, control, settings, counters, life, gates, ended });
+        Tokio.timeout(Duration::from_secs(30), told).await.expect("the story ends");
+    });
+}
+
+pub async fn next(listener: &TcpListener) -> Peer {
+    Peer(listener.accept().await.expect("a connection").0)
+}
+
+/// A connection that was just used rests before it is used again.
+pub async fn rest() {
+    Tokio.sleep(Duration::from_millis(50)).await;
+}
+
+pub const PLAN: &str = "GET /plan/1 HTTP/1.1\r\nHost: h\r\nX-Call-Id: 1\r\nX-Budget: 30000m\r\n\r\n";
+pub const BOOK: &str =
+    "POST /book HTTP/1.1\r\nX-Call-Id: 2\r\nX-Budget: 30000m\r\nContent-Length: 2\r\n\r\nhi";
--- a/crates/sidecar/tests/loopback.rs
+++ b/crates/sidecar/tests/loopback.rs
@@ -4,101 +4,10 @@
 mod common;
 
 use cometcroft_platform::{Platform, Tokio};
-use cometcroft_sidecar::Parts;
 use cometcroft_sidecar::config::Config;
-use cometcroft_sidecar::counters::Counters;
-use cometcroft_sidecar::lifecycle::Life;
-use cometcroft_sidecar::retune::Control;
-use std::future::Future;
-use std::rc::Rc;
+use common::story::{BOOK, PLAN, Peer, Sidecar, next, rest, story};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::task::{JoinHandle, LocalSet, spawn_local};
-
-/// A connection's other side, as text.
-struct Peer(TcpStream);
-
-impl Peer {
-    async fn to(sidecar: &Sidecar) -> Peer {
-        Peer(TcpStream::connect(&sidecar.address).await.expect("it listens"))
-    }
-
-    async fn say(&mut self, text: &str) {
-        self.0.write_all(text.as_bytes()).await.expect("it reads");
-    }
-
-    /// One message with its body, or what there was of it at the end.
-    async fn hear(&mut self) -> String {
-        let mut text = String::new();
-        loop {
-            if let Some(at) = text.find("\r\n\r\n") {
-                let length = text.split("Content-Length: ").nth(1).and_then(|l| l.lines().next());
-                if text.len() >= at + 4 + length.map_or(0, |l| l.parse().expect("a length")) {
-                    return text;
-                }
-            }
-            let mut bytes = [0; 4096];
-            match self.0.read(&mut bytes).await {
-                Ok(n @ 1..) => text.push_str(&String::from_utf8_lossy(&bytes[..n])),
-                _ => return text,
-            }
-        }
-    }
-}
-
-struct Sidecar {
-    address: String,
-    backend: TcpListener,
-    discovery: TcpListener,
-    control: Rc<Control>,
-    counters: Rc<Counters>,
-    life: Rc<Life<Tokio>>,
-    ops: String,
-    ended: JoinHandle<std::io::Result<()>>,
-}
-
-/// Starts a sidecar that knows one backend server and plays a story with it.
-fn story<F: Future<Output = ()>>(told: impl FnOnce(Sidecar) -> F) {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-    LocalSet::new().block_on(&runtime, async {
-        let any = || TcpListener::bind("127.0.0.1:0");
-        let (backend, discovery) = (any().await.expect("a port"), any().await.expect("a port"));
-        let (listener, door) = (any().await.expect("a port"), any().await.expect("a port"));
-        let at = |listener: &TcpListener| listener.local_addr().expect("an address").to_string();
-        let known = format!(
-            r#"{{"index":1,"snapshot":true,"endpoints":[{{"name":"s","address":"{}","zone":"a","status":"up"}}]}}"#,
-            at(&backend)
-        );
-        let text = common::config(&at(&listener), &at(&discovery), &known);
-        let config = Config::parse(&text, |_| None).expect("a configuration");
-        let counters = Rc::new(Counters::default());
-        let life = Rc::new(Life::new(Tokio, config.longest_deadline(), false));
-        let (address, ops, control) = (at(&listener), at(&door), Control::new(&config));
-        let parts = Parts {
-            listener,
-            ops: Some(door),
-            control: control.clone(),
-            life: life.clone(),
-            counters: counters.clone(),
-            fleet: None,
-        };
-        let ended = spawn_local(cometcroft_sidecar::run(Tokio, config, parts));
-        let told = told(Sidecar { address, ops, backend, discovery, control, counters, life, ended });
-        Tokio.timeout(std::time::Duration::from_secs(30), told).await.expect("the story ends");
-    });
-}
-
-async fn next(listener: &TcpListener) -> Peer {
-    Peer(listener.accept().await.expect("a connection").0)
-}
-
-/// A connection that was just used rests before it is used again.
-async fn rest() {
-    Tokio.sleep(std::time::Duration::from_millis(50)).await;
-}
-
-const PLAN: &str = "GET /plan/1 HTTP/1.1\r\nHost: h\r\nX-Call-Id: 1\r\nX-Budget: 30000m\r\n\r\n";
-const BOOK: &str = "POST /book HTTP/1.1\r\nX-Call-Id: 2\r\nX-Budget: 30000m\r\nContent-Length: 2\r\n\r\nhi";
 
 #[test]
 fn a_request_goes_through_and_its_connections_are_kept() {
@@ -370,7 +279,7 @@
         let mut old = next(&sidecar.discovery).await;
         assert!(old.hear().await.contains("?from=1&"));
         let moved = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-        sidecar.control.source.move_to(moved.local_addr().expect("an address"));
+        sidecar.control.source.move_to(moved.local_addr().expect("an address"), &sidecar.settings);
         let mut new = next(&moved).await;
         assert!(new.hear().await.starts_with("GET /discovery/hosts HTTP/1.1"));
         assert_eq!(old.hear().await, "", "the old call is given up");
@@ -381,7 +290,7 @@
         // The module waits out a failure; a move in that time is followed all the same.
         drop((new, moved));
         let again = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-        sidecar.control.source.move_to(again.local_addr().expect("an address"));
+        sidecar.control.source.move_to(again.local_addr().expect("an address"), &sidecar.settings);
         assert!(next(&again).await.hear().await.starts_with("GET /discovery/hosts HTTP/1.1"));
     });
 }
--- a/crates/sidecar/tests/parts.rs
+++ b/crates/sidecar/tests/parts.rs
@@ -191,7 +191,8 @@
                "status": status, "weight": 1.5, "since_ms": 0})
     };
     let start = Tokio.now();
-    let take = |value: serde_json::Value, ms| directory.take(&value, start + Duration::from_millis(ms));
+    let take =
+        |value: serde_json::Value, ms| directory.take(&value, start + Duration::from_millis(ms), None).news();
     let open = |id, ms| directory.open(UpstreamId(id), start + Duration::from_millis(ms));
     let first =
         json!({"index": 4, "snapshot": true, "endpoints": [entry("x", 1, "up"), entry("y", 2, "up")]});
@@ -237,7 +238,7 @@
     };
     for cut in 0..=list.len() {
         let directory = Directory::new(vec![], Duration::ZERO, Duration::ZERO, Tokio.unix());
-        directory.take(&known, Tokio.now()).expect("a list");
+        directory.take(&known, Tokio.now(), None).news().expect("a list");
         let members = directory.salvage(&list.as_bytes()[..cut], Tokio.now());
         let expected = usize::from(cut >= told("a")) + usize::from(cut >= told("c"));
         assert_eq!(members.len(), expected, "cut at {cut}");
@@ -256,11 +257,14 @@
     let pretty = serde_json::to_string_pretty(&news).expect("text");
     let fresh = || {
         let directory = Directory::new(vec![], Duration::ZERO, Duration::ZERO, Tokio.unix());
-        directory.take(&known, Tokio.now()).expect("a list");
+        directory.take(&known, Tokio.now(), None).news().expect("a list");
         directory
     };
     let read = serde_json::from_str(&pretty).expect("JSON");
-    assert_eq!(fresh().take(&read, Tokio.now()).expect("news").entries[0].state, State::Draining);
+    assert_eq!(
+        fresh().take(&read, Tokio.now(), None).news().expect("news").entries[0].state,
+        State::Draining
+    );
     // Broken off behind the first row, and behind its status.
     let row = pretty.find("\"name\": \"b\"").expect("the second row");
     let status = pretty.find("\"draining\"").expect("the first row's") + "\"draining\",".len();
@@ -283,7 +287,7 @@
     ));
     let row = |name, status| json!({"name": name, "address": "127.0.0.1:7", "zone": "z", "status": status, "weight": 2.0});
     let list = |index: u32, status| json!({"index": index, "snapshot": true, "endpoints": [row("a", status), row("b", "up")]});
-    let news = directory.take(&list(1, "up"), Tokio.now()).expect("a list");
+    let news = directory.take(&list(1, "up"), Tokio.now(), None).news().expect("a list");
     assert_eq!((news.entries[0].state, news.entries[1].state), (State::Draining, State::Ready));
     let open = |id| directory.open(UpstreamId(id), Tokio.now());
     assert!(!open(0) && open(1), "a bar has no grace, and bars nobody else");
@@ -293,7 +297,7 @@
     assert_eq!((back.len(), back[0].state, back[0].weight), (1, State::Ready, 1.0));
     assert!(open(0));
     // Discovery is stricter: no verdict opens what it drains.
-    directory.take(&list(2, "draining"), Tokio.now()).expect("a list");
+    directory.take(&list(2, "draining"), Tokio.now(), None).news().expect("a list");
     verdict.set(Verdict::Stays);
     assert_eq!(directory.judge()[0].state, State::Draining);
 }
@@ -307,7 +311,7 @@
         let changes =
             json!([entry(n, "up"), entry(n.saturating_sub(1), if n > 0 { "removed" } else { "up" })]);
         let list = json!({"index": n, "snapshot": false, "endpoints": changes});
-        assert_eq!(directory.take(&list, Tokio.now()).expect("a list").entries.len(), 2);
+        assert_eq!(directory.take(&list, Tokio.now(), None).news().expect("a list").entries.len(), 2);
         assert_eq!(directory.len(), 1);
     }
     assert!(directory.open(UpstreamId(999), Tokio.now()) && !directory.open(UpstreamId(998), Tokio.now()));
@@ -319,7 +323,7 @@
     let unix = Tokio.unix();
     let list = json!({"index": 1, "snapshot": true, "endpoints": [{"name": "x", "address": "127.0.0.1:1",
         "zone": "?", "status": "up", "since_ms": unix.as_millis() as u64}]});
-    let started = || directory.take(&list, Tokio.now()).expect("a list").entries[0].started;
+    let started = || directory.take(&list, Tokio.now(), None).news().expect("a list").entries[0].started;
     // The module takes another start for another process, so reading it again must not move it.
     assert_eq!(started(), started());
     assert!(started().is_some_and(|at| at > Duration::from_secs(3000)));
