A repeat is written within its window or not at all, though its connection comes up late

Change: the session table knows each class's effect; a dispatch after one that may have run carries the latest moment for its last byte, and exchange.rs neither makes a connection nor writes past it. What was not sent for that says nothing of the backend server. The table also refuses an unsafe class a second run, whoever decided it, and counts that. Tests: crossings.rs, a_repeat_whose_connection_comes_up_after_its_window_is_not_sent (fails on the code before: it is sent); sessions.rs holds every repeat to its window over random steps.

--- a/crates/emulator/src/sabotage.rs
+++ b/crates/emulator/src/sabotage.rs
@@ -89,7 +89,13 @@
         self.inner.platform()
     }
 
-    fn dispatch(&self, to: UpstreamId, payload: Rc<Payload>, timeout: Duration) -> Later<Ended<Reply>> {
+    fn dispatch(
+        &self,
+        to: UpstreamId,
+        payload: Rc<Payload>,
+        timeout: Duration,
+        latest: Option<Instant>,
+    ) -> Later<Ended<Reply>> {
         let now = self.platform().now();
         if self.newest.get().is_none_or(|(newest, _)| to > newest) {
             self.newest.set(Some((to, now)));
@@ -102,7 +108,7 @@
             }
             _ => to,
         };
-        let sound = self.inner.dispatch(to, payload.clone(), timeout);
+        let sound = self.inner.dispatch(to, payload.clone(), timeout, latest);
         match self.defect {
             Defect::ResendsWhatRan => Box::pin(async move {
                 let mut ended = sound.await;
@@ -112,7 +118,7 @@
                 ended
             }),
             Defect::TwoAtOnce => {
-                let other = self.inner.dispatch(to, payload, timeout);
+                let other = self.inner.dispatch(to, payload, timeout, latest);
                 Box::pin(async move {
                     tokio::select! {
                         biased;
--- a/crates/sidecar/src/counters.rs
+++ b/crates/sidecar/src/counters.rs
@@ -81,6 +81,8 @@
     dispatch_moot,
     /// Dispatches stopped before their first byte as their backend server drains.
     dispatch_barred,
+    /// Repeats that were not sent as their window ended first.
+    dispatch_outlived,
     /// Connections opened to backend servers.
     backend_connections,
     /// Dispatches that went over a connection used before.
--- a/crates/sidecar/src/dispatch.rs
+++ b/crates/sidecar/src/dispatch.rs
@@ -1,7 +1,7 @@
 //! Dispatches and probes over HTTP: what the session host asks for, and what came of it.
 
 use crate::counters::count;
-use crate::exchange::{Exchanger, Lack, Reply, Stage, outcome, without_answer};
+use crate::exchange::{Ends, Exchanger, Lack, Reply, Stage, outcome, without_answer};
 use crate::fleet::Fleet;
 use crate::http::client;
 use crate::http::server::Request;
@@ -51,10 +51,16 @@
         self.exchanger.pool.platform()
     }
 
-    fn dispatch(&self, to: UpstreamId, payload: Rc<Payload>, timeout: Duration) -> Later<Ended<Reply>> {
+    fn dispatch(
+        &self,
+        to: UpstreamId,
+        payload: Rc<Payload>,
+        timeout: Duration,
+        latest: Option<Instant>,
+    ) -> Later<Ended<Reply>> {
         let carrier = self.clone();
         Box::pin(async move {
-            let ended = carrier.attempt(to, &payload, carrier.platform().now() + timeout).await;
+            let ended = carrier.attempt(to, &payload, carrier.platform().now() + timeout, latest).await;
             payload.ended.set(happened(ended.outcome).or(payload.ended.get()));
             ended
         })
@@ -90,7 +96,13 @@
 }
 
 impl<P: Platform> HttpCarrier<P> {
-    async fn attempt(&self, to: UpstreamId, payload: &Payload, ends: Instant) -> Ended<Reply> {
+    async fn attempt(
+        &self,
+        to: UpstreamId,
+        payload: &Payload,
+        ends: Instant,
+        latest: Option<Instant>,
+    ) -> Ended<Reply> {
         let stage = Cell::new(Stage::Unwritten);
         let platform = self.platform();
         // Danger: a body of which a part is gone would go out with a hole; nothing is sent, and said so.
@@ -115,7 +127,8 @@
             stage.set(Stage::Written);
             self.exchanger.counters.figures.relay(payload.class);
         };
-        let exchange = self.exchanger.run(to, message, payload.upload.as_ref(), ends, written);
+        let exchange =
+            self.exchanger.run(to, message, payload.upload.as_ref(), Ends { ends, latest }, written);
         let answered = platform.timeout_at(ends, exchange).await;
         let unanswered = |lack| {
             if lack == Lack::Spoilt {
--- a/crates/sidecar/src/exchange.rs
+++ b/crates/sidecar/src/exchange.rs
@@ -37,7 +37,7 @@
     Broken,
     /// What came can't be the answer to it.
     Spoilt,
-    /// The fleet has no more connections to give: it says nothing of the backend server.
+    /// It was not sent for a reason of ours: it says nothing of the backend server.
     Barred,
 }
 
@@ -92,26 +92,40 @@
         to: UpstreamId,
         message: impl FnOnce() -> Bytes,
         upload: Option<&Upload>,
-        ends: Instant,
+        Ends { ends, latest }: Ends,
         written: impl FnOnce(),
     ) -> io::Result<Reply> {
         let address = self.directory.address(to).ok_or(io::ErrorKind::AddrNotAvailable)?;
-        let mut lease = self.pool.get(to, address, ends).await?;
+        let platform = self.pool.platform();
+        let bounded = latest.map_or(ends, |latest| latest.min(ends));
+        let lease = self.pool.get(to, address, bounded).await;
+        // Danger: a connection may come up, or a body be written, when a repeat is not dropped any more.
+        if latest.is_some_and(|latest| platform.now() >= latest) {
+            return Err(self.outlived());
+        }
+        let mut lease = lease?;
         // Danger: the notice of a drain may have come while the connection was being made; the grace is
         // counted to the first byte, whenever the module decided.
         if !self.directory.open(to, self.pool.platform().now()) {
             count(&self.counters.dispatch_barred);
             return Err(io::ErrorKind::ConnectionAborted.into());
         }
-        lease.stream.write_all(&message()).await?;
-        if let Some(upload) = upload {
-            let coding = if upload.framing().is_some() { Coding::Plain } else { Coding::Chunked };
-            let mut at = 0;
-            while let Some(piece) = upload.piece(at).await {
-                lease.stream.write_all(&coding.frame(&piece)).await?;
-                at += 1;
+        let whole = async {
+            lease.stream.write_all(&message()).await?;
+            if let Some(upload) = upload {
+                let coding = if upload.framing().is_some() { Coding::Plain } else { Coding::Chunked };
+                let mut at = 0;
+                while let Some(piece) = upload.piece(at).await {
+                    lease.stream.write_all(&coding.frame(&piece)).await?;
+                    at += 1;
+                }
+                lease.stream.write_all(coding.end()).await?;
             }
-            lease.stream.write_all(coding.end()).await?;
+            Ok::<(), io::Error>(())
+        };
+        match latest {
+            None => whole.await?,
+            Some(latest) => platform.timeout_at(latest, whole).await.map_err(|_| self.outlived())??,
         }
         written();
         let mut exchange = Exchange::delimited(MAX_BULK);
@@ -129,6 +143,21 @@
         }
         Ok(Reply { answer, rest })
     }
+
+    /// The window for repeats has ended before this one was written whole.
+    fn outlived(&self) -> io::Error {
+        count(&self.counters.dispatch_outlived);
+        io::ErrorKind::QuotaExceeded.into()
+    }
+}
+
+/// When an attempt ends, and by when it is written whole or not at all.
+#[derive(Debug, Clone, Copy)]
+pub struct Ends {
+    /// It is given up then.
+    pub ends: Instant,
+    /// From then on its repeat may not be dropped.
+    pub latest: Option<Instant>,
 }
 
 /// An answer, and where the rest of it comes from if it is not held whole.
--- a/crates/sidecar/src/probe.rs
+++ b/crates/sidecar/src/probe.rs
@@ -1,7 +1,7 @@
 //! Probes: what a backend server says of its load.
 
 use crate::counters::count;
-use crate::exchange::{Exchanger, Lack, Reply, Stage, without_answer};
+use crate::exchange::{Ends, Exchanger, Lack, Reply, Stage, without_answer};
 use crate::http::client;
 use crate::session::Probed;
 use cometcroft::{Outcome, Report, UpstreamId};
@@ -24,7 +24,10 @@
     let (stage, ends) = (Cell::new(Stage::Unwritten), platform.now() + PATIENCE);
     let message = || client::get("/metrics/load", "backend.local");
     let probed = match platform
-        .timeout_at(ends, exchanger.run(to, message, None, ends, || stage.set(Stage::Written)))
+        .timeout_at(
+            ends,
+            exchanger.run(to, message, None, Ends { ends, latest: None }, || stage.set(Stage::Written)),
+        )
         .await
     {
         Ok(Ok(Reply { answer, .. })) => {
--- a/crates/sidecar/src/session/host.rs
+++ b/crates/sidecar/src/session/host.rs
@@ -28,12 +28,14 @@
     type Answer: 'static;
     /// The clock and the tasks.
     fn platform(&self) -> &Self::Platform;
-    /// One attempt. It ends within `timeout`; dropped, it ends its connection.
+    /// One attempt. It ends within `timeout`, and is written whole by `latest` or not at all; dropped, it ends its
+    /// connection.
     fn dispatch(
         &self,
         to: UpstreamId,
         payload: Self::Payload,
         timeout: Duration,
+        latest: Option<Instant>,
     ) -> Later<Ended<Self::Answer>>;
     /// One probe.
     fn probe(&self, to: UpstreamId) -> Later<Probed>;
@@ -134,8 +136,9 @@
     fn run(self: &Rc<Self>, commands: Vec<Command<C::Payload, C::Answer>>) {
         for command in commands {
             match command {
-                Command::Dispatch { session, attempt, upstream, timeout, payload } => {
-                    self.dispatch(session, attempt, upstream, timeout, payload);
+                Command::Dispatch { session, attempt, upstream, timeout, latest, payload } => {
+                    let latest = latest.map(|at| self.origin + at.saturating_sub(self.origin_at));
+                    self.dispatch(session, attempt, upstream, (timeout, latest), payload);
                 }
                 Command::Abandon(session) => {
                     if let Some(task) = self.running.borrow().get(&session) {
@@ -178,7 +181,7 @@
         session: SessionId,
         attempt: u32,
         upstream: UpstreamId,
-        timeout: Duration,
+        (timeout, latest): (Duration, Option<Instant>),
         payload: C::Payload,
     ) {
         let host = self.clone();
@@ -191,7 +194,7 @@
                 before.await;
             }
             let left = ends.saturating_duration_since(host.platform().now());
-            let ended = host.carrier.dispatch(upstream, payload, left).await;
+            let ended = host.carrier.dispatch(upstream, payload, left, latest).await;
             let commands = host.table.borrow_mut().ended(host.now(), session, attempt, ended);
             host.run(commands);
         });
--- a/crates/sidecar/src/session/table.rs
+++ b/crates/sidecar/src/session/table.rs
@@ -64,6 +64,8 @@
         upstream: UpstreamId,
         /// It is given up after this time.
         timeout: Duration,
+        /// It is written whole by then or not at all: from then on its repeat may not be dropped any more.
+        latest: Option<Time>,
         /// What it carries.
         payload: P,
     },
@@ -86,20 +88,34 @@
     upstream: UpstreamId,
     began: Time,
     out: bool,
+    /// It ended with proof that it has not run.
+    void: bool,
 }
 
 #[derive(Debug)]
 struct Session<P> {
     payload: P,
+    class: ClassId,
     dispatches: Vec<Dispatch>,
     answered: bool,
 }
 
+impl<P> Session<P> {
+    /// When the first dispatch began that may have run.
+    fn may_have_run(&self) -> Option<Time> {
+        self.dispatches.iter().find(|d| !d.void).map(|d| d.began)
+    }
+}
+
+/// What is written so long before a window for repeats ends arrives in it, or a twentieth of the window within these bounds.
+const ON_ITS_WAY: [Duration; 2] = [Duration::from_millis(20), Duration::from_millis(100)];
+
 /// All sessions of a sidecar and the module that decides on them.
 #[derive(Debug)]
 pub struct Table<P, A> {
     balancer: Balancer,
     most: usize,
+    effects: Vec<Effect>,
     sessions: HashMap<SessionId, Session<P>>,
     next: SessionId,
     events: VecDeque<Event>,
@@ -113,6 +129,7 @@
     pub fn new(settings: Settings, seed: u64, counters: Rc<Counters>) -> Result<Table<P, A>, SettingsError> {
         Ok(Table {
             most: settings.limits.max_attempts as usize,
+            effects: effects(&settings),
             balancer: Balancer::new(settings, seed)?,
             sessions: HashMap::new(),
             next: 0,
@@ -147,6 +164,7 @@
         from: Vec<Option<ClassId>>,
     ) -> Vec<Command<P, A>> {
         self.most = settings.limits.max_attempts as usize;
+        self.effects = effects(&settings);
         self.tell(now, Event::Retune { settings: Box::new(settings), from })
     }
 
@@ -155,7 +173,7 @@
         let (id, Opening { class, tenant, left, repeat, payload }) = (self.next, opening);
         self.next += 1;
         count(&self.counters.sessions);
-        self.sessions.insert(id, Session { payload, dispatches: Vec::new(), answered: false });
+        self.sessions.insert(id, Session { payload, class, dispatches: Vec::new(), answered: false });
         let request = RequestId(id);
         let commands = self.tell(now, Event::Request { request, class, tenant, left, hint: None, repeat });
         (id, commands)
@@ -169,6 +187,7 @@
             return Vec::new();
         };
         dispatch.out = false;
+        dispatch.void = ended.outcome.never_ran();
         let (upstream, latency) = (dispatch.upstream, now.saturating_sub(dispatch.began));
         let Ended { outcome, report, answer } = ended;
         count(match outcome {
@@ -288,9 +307,20 @@
         let out = session.dispatches.iter().any(|d| d.out);
         invariant(&self.counters, !out, "a session has one dispatch out at most");
         let attempt = session.dispatches.len();
+        let (effect, ran) = (self.effects.get(session.class.0), session.may_have_run());
+        // Danger: a class that must never run twice is not sent again if it may have run, whoever decided so.
+        let twice = ran.is_some() && matches!(effect, Some(Effect::Unsafe));
+        invariant(&self.counters, !twice, "what may have run and must not run twice is not sent again");
+        // Danger: the window for repeats may end while a connection is made or a body is written.
+        let latest = match (effect, ran) {
+            (Some(Effect::Keyed { window, .. }), Some(ran)) => {
+                Some(ran + window.saturating_sub((*window / 20).clamp(ON_ITS_WAY[0], ON_ITS_WAY[1])))
+            }
+            _ => None,
+        };
         // Never two at once, whatever was decided: what can't be sent is reported as never sent.
-        let moot = out || session.answered || attempt >= self.most;
-        session.dispatches.push(Dispatch { upstream, began: now, out: !moot });
+        let moot = out || session.answered || twice || attempt >= self.most;
+        session.dispatches.push(Dispatch { upstream, began: now, out: !moot, void: moot });
         let attempt = attempt as u32;
         if moot {
             count(&self.counters.dispatch_moot);
@@ -302,7 +332,7 @@
         }
         count(&self.counters.dispatches);
         let payload = session.payload.clone();
-        self.commands.push(Command::Dispatch { session: id, attempt, upstream, timeout, payload });
+        self.commands.push(Command::Dispatch { session: id, attempt, upstream, timeout, latest, payload });
     }
 
     fn answer(&mut self, now: Time, id: SessionId, verdict: Verdict<A>) {
@@ -314,3 +344,7 @@
         self.abandon(now, id);
     }
 }
+
+fn effects(settings: &Settings) -> Vec<Effect> {
+    settings.classes.iter().map(|class| class.effect).collect()
+}
--- a/crates/sidecar/tests/crossings.rs
+++ b/crates/sidecar/tests/crossings.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use cometcroft_platform::{Platform, Tokio};
-use common::story::{PLAN, Peer, Sidecar, next, rest, story, story_with};
+use common::story::{BOOK, PLAN, Peer, Sidecar, next, rest, story, story_with};
 use std::time::Duration;
 
 const MS: Duration = Duration::from_millis(1);
@@ -165,3 +165,66 @@
         },
     );
 }
+
+// ---- Attempts -------------------------------------------------------------------------------------------------
+
+const PAY: &str = "POST /pay HTTP/1.1\r\nX-Call-Id: 3\r\nX-Budget: 30000m\r\nIdempotency-Key: k\r\nContent-Length: 2\r\n\r\nhi";
+
+/// The connection for a repeat comes up after the window in which backend servers drop repeats: nothing is written to it.
+#[test]
+fn a_repeat_whose_connection_comes_up_after_its_window_is_not_sent() {
+    story_with(
+        |text| {
+            let text = text.replace("\"dial-timeout-ns\":200000000", "\"dial-timeout-ns\":9000000000");
+            text.replace("\"key-ttl-ns\":5000000000", "\"key-ttl-ns\":800000000")
+        },
+        |sidecar| async move {
+            let mut client = Peer::to(&sidecar).await;
+            client.say(PAY).await;
+            let mut server = next(&sidecar.backend).await;
+            assert!(server.hear().await.ends_with("hi"));
+            sidecar.gates.shut(sidecar.server());
+            server.reset();
+            sidecar.gates.waits().await;
+            // The key is dropped by all: to be told to come again is harmless.
+            assert!(client.hear().await.starts_with("HTTP/1.1 503"));
+            sidecar.gates.open(sidecar.server());
+            rest().await;
+            let counters = &sidecar.counters;
+            assert_eq!((counters.dispatch_outlived.get(), counters.backend_connections.get()), (1, 1));
+        },
+    );
+}
+
+/// In time it goes out; and a class that must never run twice does not, whatever the settings say of windows.
+#[test]
+fn a_repeat_in_its_window_is_sent_and_an_unsafe_request_never() {
+    story_with(
+        |text| text.replace("\"dial-timeout-ns\":200000000", "\"dial-timeout-ns\":9000000000"),
+        |sidecar| async move {
+            let mut client = Peer::to(&sidecar).await;
+            client.say(PAY).await;
+            let mut server = next(&sidecar.backend).await;
+            server.hear().await;
+            sidecar.gates.shut(sidecar.server());
+            server.reset();
+            sidecar.gates.waits().await;
+            sidecar.gates.open(sidecar.server());
+            let mut server = next(&sidecar.backend).await;
+            assert!(server.hear().await.ends_with("hi"));
+            server.say("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await;
+            assert!(client.hear().await.starts_with("HTTP/1.1 200"));
+            client.say(BOOK).await;
+            rest().await;
+            // On the connection that was kept, or on another.
+            let mut server = tokio::select! {
+                _ = Tokio.sleep(50 * MS) => server,
+                another = next(&sidecar.backend) => another,
+            };
+            assert!(server.hear().await.contains("/book"));
+            server.reset();
+            assert!(client.hear().await.starts_with("HTTP/1.1 502"));
+            assert_eq!((sidecar.counters.dispatches.get(), sidecar.counters.dispatch_outlived.get()), (3, 0));
+        },
+    );
+}
--- a/crates/sidecar/tests/sessions.rs
+++ b/crates/sidecar/tests/sessions.rs
@@ -41,15 +41,19 @@
     out: Option<u32>,
     dispatched: u32,
     may_have_run: bool,
+    /// When its first dispatch began.
+    began: Duration,
     /// Answers it got; a client that left counts as answered.
     over: u32,
     left: bool,
 }
 
+const WINDOW: Duration = Duration::from_secs(4);
+
 fn settings() -> Settings {
     let mut settings = Settings::example();
     let class = settings.classes[0].clone();
-    let keyed = Effect::Keyed { scope: DedupScope::All, window: Duration::from_secs(60) };
+    let keyed = Effect::Keyed { scope: DedupScope::All, window: WINDOW };
     settings.classes =
         [Effect::Safe, Effect::Unsafe, keyed].map(|e| Class { effect: e, ..class.clone() }).into();
     settings.limits.second_copies = false;
@@ -72,16 +76,23 @@
     models: &mut HashMap<SessionId, Model>,
     timers: &mut Vec<Timer>,
     drained: Option<u32>,
+    now: Duration,
 ) -> Result<(), TestCaseError> {
     for command in commands {
         match command {
-            Command::Dispatch { session, attempt, upstream, payload, .. } => {
+            Command::Dispatch { session, attempt, upstream, payload, latest, .. } => {
                 let model = models.entry(session).or_default();
                 prop_assert_eq!(model.over, 0, "nothing is dispatched for what is over");
                 prop_assert_eq!(model.out, None, "never two at once");
                 prop_assert_eq!(attempt, model.dispatched);
                 prop_assert!(attempt < 3 && Some(upstream.0) != drained);
                 prop_assert!(payload != 1 || !model.may_have_run, "an unsafe class never runs twice");
+                let bound = payload == 2 && model.may_have_run;
+                prop_assert_eq!(latest.is_some(), bound, "a repeat is bound to its window, and nothing else");
+                prop_assert!(latest.is_none_or(|at| at < model.began + WINDOW));
+                if !model.may_have_run {
+                    model.began = now;
+                }
                 (model.out, model.dispatched) = (Some(attempt), attempt + 1);
             }
             Command::Abandon(session) => {
@@ -116,8 +127,8 @@
         let mut table: Table<u8, u8> = Table::new(settings(), 7, counters.clone()).expect("settings");
         let (mut models, mut timers): (HashMap<SessionId, Model>, _) = (HashMap::new(), Vec::new());
         let (mut now, mut drained) = (Duration::from_secs(3600), None);
-        check(table.tell(now, Event::Start), &mut models, &mut timers, drained)?;
-        check(table.tell(now, list(None)), &mut models, &mut timers, drained)?;
+        check(table.tell(now, Event::Start), &mut models, &mut timers, drained, now)?;
+        check(table.tell(now, list(None)), &mut models, &mut timers, drained, now)?;
         for (step, wait) in steps {
             now += Duration::from_millis(wait);
             let mut open: Vec<SessionId> =
@@ -161,7 +172,7 @@
                     table.tell(now, list(drained))
                 }
             };
-            check(commands, &mut models, &mut timers, drained)?;
+            check(commands, &mut models, &mut timers, drained, now)?;
             let owed = models.values().filter(|m| m.over == 0).count();
             prop_assert_eq!(table.owed(), owed);
             // Whoever is owed an answer has a dispatch out: the module holds nothing back.
