frontend split where its crossings lie: accept, reading, waiting, closing

Ruled out: a change of behaviour; the code is moved, with visibility and imports alone changed. Change: frontend/mod.rs accepts and bounds, reading.rs reads, waiting.rs waits for an outcome, closing.rs answers and ends.

--- /dev/null
+++ b/crates/sidecar/src/frontend/mod.rs
@@ -0,0 +1,186 @@
+//! The frontend: the listener and the client connections. It turns requests into sessions and verdicts into
+//! answers.
+
+mod closing;
+mod reading;
+mod waiting;
+
+pub(crate) use closing::{bid_farewell, refuse};
+pub use waiting::time_left;
+
+use crate::classes::Register;
+use crate::counters::{Counters, count};
+use crate::dispatch::Payload;
+use crate::exchange::Reply;
+use crate::fleet::Fleet;
+use crate::lifecycle::{Life, Machine};
+use crate::session::{Carrier, Host};
+use crate::upload::Budget;
+use bytes::Bytes;
+use cometcroft::Settings;
+use cometcroft_platform::{Listener, Platform};
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashSet};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::sync::Notify;
+
+/// A connection that has brought no whole request for so long is the first to make room.
+const SLOW: Duration = Duration::from_millis(250);
+
+/// A carrier that brings HTTP requests to backend servers: whatever it is, this frontend can stand before it.
+pub trait HttpBackend: Carrier<Payload = Rc<Payload>, Answer = Reply> {}
+
+impl<C: Carrier<Payload = Rc<Payload>, Answer = Reply>> HttpBackend for C {}
+
+type StreamOf<C> = <<C as Carrier>::Platform as Platform>::Stream;
+type ListenerOf<C> = <<C as Carrier>::Platform as Platform>::Listener;
+
+/// All client connections.
+pub struct Frontend<C: HttpBackend> {
+    platform: C::Platform,
+    host: Rc<Host<C>>,
+    classes: RefCell<Register>,
+    tenants: RefCell<Vec<String>>,
+    life: Rc<Life<C::Platform>>,
+    counters: Rc<Counters>,
+    most: usize,
+    budget: Rc<Budget>,
+    open: Cell<usize>,
+    left: Notify,
+    /// Connections that owe a request, the longest waiting first.
+    waiting: RefCell<BTreeMap<u64, Waiting>>,
+    turn: Cell<u64>,
+    /// The ids of all open requests.
+    ids: RefCell<HashSet<Bytes>>,
+    fleet: Option<Rc<Fleet<C::Platform>>>,
+}
+
+/// A connection with no open request.
+struct Waiting {
+    wake: Rc<Notify>,
+    /// Since when it has owed a whole request; `None` if it has been served and may be idle.
+    owes: Option<Instant>,
+}
+
+impl<C: HttpBackend> Frontend<C> {
+    /// A frontend that holds at most `most` connections, and so many bytes of large bodies before they are sent on.
+    pub fn new(
+        host: Rc<Host<C>>,
+        classes: Register,
+        tenants: Vec<String>,
+        life: Rc<Life<C::Platform>>,
+        counters: Rc<Counters>,
+        [most, memory]: [usize; 2],
+        fleet: Option<Rc<Fleet<C::Platform>>>,
+    ) -> Rc<Frontend<C>> {
+        Rc::new(Frontend {
+            platform: host.platform().clone(),
+            host,
+            classes: RefCell::new(classes),
+            tenants: RefCell::new(tenants),
+            life,
+            counters,
+            most,
+            budget: Budget::new(memory),
+            open: Cell::new(0),
+            left: Notify::new(),
+            waiting: RefCell::default(),
+            turn: Cell::new(0),
+            ids: RefCell::default(),
+            fleet,
+        })
+    }
+
+    /// New settings, with the names of their classes. What is open keeps the class that it came under.
+    pub fn retune(&self, mut settings: Settings, names: &[String], tenants: Vec<String>) {
+        let mut classes = self.classes.borrow_mut();
+        let from = classes.take(names, &settings.classes, self.platform.now());
+        settings.classes = classes.classes();
+        self.counters.figures.name(&classes.names());
+        self.tenants.replace(tenants);
+        self.host.retune(settings, from);
+    }
+
+    /// Accepts and serves until the sidecar leaves, and returns when all is answered.
+    pub async fn run(self: Rc<Self>, listener: ListenerOf<C>) {
+        tokio::select! {
+            biased;
+            () = self.life.until(Machine::accepts_until) => {}
+            () = self.accept(&listener) => {}
+        }
+        drop(listener);
+        while self.open.get() > 0 {
+            self.left.notified().await;
+        }
+    }
+
+    async fn accept(self: &Rc<Self>, listener: &ListenerOf<C>) {
+        self.life.until(|machine| Some(machine.accepts_from())).await;
+        loop {
+            // Danger: past the limit of descriptors nothing works any more, so a place is made or awaited
+            // before the next client is let in.
+            while self.open.get() >= self.most {
+                self.evict();
+                // One that is woken may have just got its request and stay.
+                let _ = self.platform.timeout(Duration::from_millis(10), self.left.notified()).await;
+            }
+            let stream = admit(&self.platform, listener, &self.counters).await;
+            count(&self.counters.frontend_connections);
+            let seat = Seat::take(self);
+            self.platform.detach(async move {
+                // A client that breaks off has left; there is nobody to tell.
+                let _ = seat.0.connection(stream).await;
+                drop(seat);
+            });
+        }
+    }
+
+    /// Wakes the connection that can best be done without. Danger: hundreds that say nothing, or never end what
+    /// they say, would take the places of clients that do; so those go first, then who has been idle longest.
+    fn evict(&self) {
+        let mut waiting = self.waiting.borrow_mut();
+        let slow = |w: &Waiting| w.owes.is_some_and(|since| self.platform.since(since) >= SLOW);
+        let first =
+            |of: &dyn Fn(&Waiting) -> bool| waiting.iter().find(|(_, w)| of(w)).map(|(&turn, _)| turn);
+        let turn = first(&slow).or_else(|| first(&|w| w.owes.is_none())).or_else(|| first(&|_| true));
+        if let Some(waiting) = turn.and_then(|turn| waiting.remove(&turn)) {
+            count(&self.counters.frontend_evicted);
+            waiting.wake.notify_one();
+        }
+    }
+}
+
+/// The next connection. Out of descriptors or a peer that left at once: neither ends the service.
+pub(crate) async fn admit<P: Platform>(
+    platform: &P,
+    listener: &P::Listener,
+    counters: &Counters,
+) -> P::Stream {
+    loop {
+        match listener.accept().await {
+            Ok(stream) => return stream,
+            Err(_) => {
+                count(&counters.accept_failures);
+                platform.sleep(Duration::from_millis(5)).await;
+            }
+        }
+    }
+}
+
+/// A connection's place among all of them, given back when dropped.
+struct Seat<C: HttpBackend>(Rc<Frontend<C>>);
+
+impl<C: HttpBackend> Seat<C> {
+    fn take(frontend: &Rc<Frontend<C>>) -> Seat<C> {
+        frontend.open.set(frontend.open.get() + 1);
+        Seat(frontend.clone())
+    }
+}
+
+impl<C: HttpBackend> Drop for Seat<C> {
+    fn drop(&mut self) {
+        self.0.open.set(self.0.open.get() - 1);
+        self.0.left.notify_one();
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/frontend/reading.rs
@@ -0,0 +1,124 @@
+//! Reading: what a client connection brings, and how long it has for that.
+
+use super::closing::bid_farewell;
+use super::{Frontend, HttpBackend, StreamOf, Waiting};
+use crate::counters::count;
+use crate::http::server::{Connection, Status, Step};
+use crate::lifecycle::Machine;
+use crate::upload::{Patience, Upload};
+use cometcroft_platform::{Platform, Stream};
+use std::io;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::sync::Notify;
+
+/// A request is whole so long after its connection or its first byte came, or it is turned away.
+const UNREADY: Duration = Duration::from_millis(2600);
+/// A connection is not closed as idle so soon after it came.
+const GRACE: Duration = Duration::from_millis(300);
+
+impl<C: HttpBackend> Frontend<C> {
+    pub(super) async fn connection(&self, mut stream: StreamOf<C>) -> io::Result<()> {
+        stream.set_nodelay()?;
+        let mut machine = Connection::default();
+        let connected = self.platform.now();
+        let (mut since, mut first) = (connected, true);
+        // When the last bytes came: the time of a request counts from its last byte.
+        let mut last = connected;
+        let mut patience = Patience::new(connected);
+        // Places that lie evenly, however many there are: multiples of the golden ratio.
+        let place = (self.turn.replace(self.turn.get() + 1) as f64 * 0.618_033_988_749_895).fract();
+        while !machine.closed() {
+            match machine.step() {
+                Step::More => {
+                    let idle = machine.idle();
+                    let owes = if first { Some(connected) } else { (!idle).then_some(since) };
+                    let now = self.platform.now();
+                    // A head has its time; a body has as long as it goes on coming.
+                    let body = machine.within();
+                    let until = if body { patience.wait(now) } else { owes.unwrap_or(now) + UNREADY };
+                    match self.read(&mut stream, &mut machine, owes, until, place).await? {
+                        Read::Bytes(bytes) => {
+                            last = self.platform.now();
+                            if idle {
+                                since = last;
+                            }
+                            if body {
+                                patience.came(last, bytes);
+                            } else {
+                                patience = Patience::new(last);
+                            }
+                        }
+                        Read::Ended => return Ok(()),
+                        Read::Late if idle => return Ok(()),
+                        Read::Late => {
+                            let status = Status::RequestTimeout;
+                            self.reply(&mut stream, &mut machine, status, "", b"", true).await?;
+                        }
+                    }
+                }
+                Step::Continue(bytes) => stream.write_all(bytes).await?,
+                step @ (Step::Request(_) | Step::Upload(..)) => {
+                    first = false;
+                    let (request, length) = match step {
+                        Step::Upload(request, length) => (request, Some(length)),
+                        Step::Request(request) => (request, None),
+                        _ => return Ok(()),
+                    };
+                    let upload = length.map(|length| Upload::new(self.budget.clone(), length));
+                    match self.request(&mut stream, &mut machine, request, upload, last).await? {
+                        // Danger: what came early has waited since then, and its budget has run.
+                        Some(early) => (since, last) = (early, early),
+                        None => return Ok(()),
+                    }
+                }
+                Step::Reject(status) => {
+                    count(&self.counters.bad_requests);
+                    self.reply(&mut stream, &mut machine, status, "", b"", true).await?;
+                }
+            }
+        }
+        bid_farewell(&self.platform, &mut stream, machine.uploading()).await
+    }
+
+    /// Reads more of a request that the connection `owes` since then, or waits for one that may never come.
+    async fn read(
+        &self,
+        stream: &mut StreamOf<C>,
+        machine: &mut Connection,
+        owes: Option<Instant>,
+        until: Instant,
+        place: f64,
+    ) -> io::Result<Read> {
+        let idle = machine.idle();
+        let turn = self.turn.replace(self.turn.get() + 1);
+        let wake = Rc::new(Notify::new());
+        self.waiting.borrow_mut().insert(turn, Waiting { wake: wake.clone(), owes });
+        // Danger: a connection that was let in just now brings a request that nobody has read.
+        let grace = owes.map(|since| since + GRACE);
+        let retired = |machine: &Machine| machine.idle_until(place).map(|at| grace.map_or(at, |g| at.max(g)));
+        let read = tokio::select! {
+            biased;
+            read = stream.read_buf(machine.buffer()) => read.map(|n| if n > 0 { Read::Bytes(n) } else { Read::Ended }),
+            () = wake.notified() => Ok(Read::Ended),
+            () = self.life.until(retired), if idle => Ok(Read::Ended),
+            () = self.platform.sleep_until(until), if owes.is_some() => {
+                count(&self.counters.frontend_mute);
+                Ok(Read::Late)
+            }
+        };
+        self.waiting.borrow_mut().remove(&turn);
+        read
+    }
+}
+
+/// How a read of a client connection ended.
+enum Read {
+    /// So many bytes came.
+    Bytes(usize),
+    /// By the client's end, or as room is needed, or on the way out.
+    Ended,
+    /// A request was owed and did not come in time.
+    Late,
+}
