Closes linger, waiting connections are taken on the way out, a flood hides no leave

Cause, each seen as a failing test on the code before: (1) a resting connection that was closed was dropped at once (frontend.rs, Read::Ended), so what came in that moment met a reset; (2) when the listener was let go, connections that the machine had accepted and nobody had read were reset with it (run, drop(listener)); (3) with 64 KiB read ahead a client was no longer listened to (machine.full), so its end behind a flood was never seen and its attempt ran on. Ruled out by a passing test: a leave while a connection is made, between two attempts, with a request sent early; a half-read request at SIGTERM that is whole too late (denied, nothing begun). On the way out what waits is accepted before the listener goes. What is beyond 64 KiB is read and thrown away, and the answer ends the connection. Without a descriptor for the next client an idle one makes room. SIGHUP after SIGTERM only shortens the time to SIGKILL. With few descriptors the door has fewer places, so that the reserve holds. Tests: crossings.rs 16 (three of them fail before), parts.rs.

--- a/crates/sidecar/src/door.rs
+++ b/crates/sidecar/src/door.rs
@@ -69,6 +69,7 @@
     /// Callers that owe a call, the longest waiting first.
     waiting: RefCell<BTreeMap<u64, Rc<Notify>>>,
     turn: Cell<u64>,
+    most: usize,
     open: Cell<usize>,
     left: Notify,
 }
@@ -76,13 +77,13 @@
 type StreamOf<C> = <<C as Carrier>::Platform as Platform>::Stream;
 
 impl<C: Carrier> Door<C> {
-    /// A door to what these tell.
+    /// A door to what these tell, with so many places.
     pub fn new(
         host: Rc<Host<C>>,
         directory: Rc<Directory>,
         life: Rc<Life<C::Platform>>,
         counters: Rc<Counters>,
-        fleet: Option<Rc<Fleet<C::Platform>>>,
+        (fleet, places): (Option<Rc<Fleet<C::Platform>>>, usize),
     ) -> Rc<Door<C>> {
         Rc::new(Door {
             host,
@@ -90,6 +91,7 @@
             life,
             counters,
             fleet,
+            most: places.clamp(1, MOST),
             waiting: RefCell::default(),
             turn: Cell::new(0),
             open: Cell::new(0),
@@ -102,13 +104,13 @@
         let platform = self.host.platform().clone();
         loop {
             // Danger: callers that say nothing would keep out those that ask; so the longest silent makes room.
-            while self.open.get() >= MOST {
+            while self.open.get() >= self.most {
                 if let Some((_, first)) = self.waiting.borrow_mut().pop_first() {
                     first.notify_one();
                 }
                 let _ = platform.timeout(Duration::from_millis(10), self.left.notified()).await;
             }
-            let stream = admit(&platform, &listener, &self.counters).await;
+            let stream = admit(&platform, &listener, &self.counters, || ()).await;
             let door = self.clone();
             self.open.set(self.open.get() + 1);
             platform.detach(async move {
--- a/crates/sidecar/src/frontend/closing.rs
+++ b/crates/sidecar/src/frontend/closing.rs
@@ -3,8 +3,8 @@
 use super::{Frontend, HttpBackend, StreamOf};
 use crate::counters::count;
 use crate::exchange::Pieces;
+use crate::http::MAX_BULK;
 use crate::http::server::{Coding, Connection, Status};
-use crate::http::{MAX_BODY, MAX_BULK};
 use bytes::{Bytes, BytesMut};
 use cometcroft_platform::Platform;
 use std::io;
@@ -86,9 +86,9 @@
     bulk: bool,
 ) -> io::Result<()> {
     stream.shutdown().await?;
-    let mut rest = [0; 4096];
+    let mut rest = [0; 16 * 1024];
     // Danger: who is in the middle of a large body may read nothing before its end, and would lose the answer.
-    let (time, mut most) = if bulk { (6000, MAX_BULK) } else { (200, MAX_BODY) };
+    let (time, mut most) = (if bulk { 6000 } else { 200 }, MAX_BULK);
     let patience = platform.now() + Duration::from_millis(time);
     while most > 0 {
         match platform.timeout_at(patience, stream.read(&mut rest)).await {
--- a/crates/sidecar/src/frontend/mod.rs
+++ b/crates/sidecar/src/frontend/mod.rs
@@ -25,6 +25,8 @@
 use std::time::{Duration, Instant};
 use tokio::sync::Notify;
 
+/// On the way out, connections that wait to be accepted are looked for during this time.
+const LAST_CALL: Duration = Duration::from_millis(10);
 /// A connection that has brought no whole request for so long is the first to make room.
 const SLOW: Duration = Duration::from_millis(250);
 
@@ -45,6 +47,9 @@
     life: Rc<Life<C::Platform>>,
     counters: Rc<Counters>,
     most: usize,
+    /// So many more may be on their way out.
+    spare: usize,
+    lingering: Cell<usize>,
     budget: Rc<Budget>,
     open: Cell<usize>,
     left: Notify,
@@ -64,14 +69,15 @@
 }
 
 impl<C: HttpBackend> Frontend<C> {
-    /// A frontend that holds at most `most` connections, and so many bytes of large bodies before they are sent on.
+    /// A frontend that holds at most `most` connections and `spare` that are on their way out, and so many bytes of large
+    /// bodies before they are sent on.
     pub fn new(
         host: Rc<Host<C>>,
         classes: Register,
         tenants: Vec<String>,
         life: Rc<Life<C::Platform>>,
         counters: Rc<Counters>,
-        [most, memory]: [usize; 2],
+        [most, spare, memory]: [usize; 3],
         fleet: Option<Rc<Fleet<C::Platform>>>,
     ) -> Rc<Frontend<C>> {
         Rc::new(Frontend {
@@ -82,6 +88,8 @@
             life,
             counters,
             most,
+            spare,
+            lingering: Cell::new(0),
             budget: Budget::new(memory),
             open: Cell::new(0),
             left: Notify::new(),
@@ -109,8 +117,16 @@
             () = self.life.until(Machine::accepts_until) => {}
             () = self.accept(&listener) => {}
         }
+        // Danger: what the machine has accepted is ours, and would be reset with the listener. A listener that a
+        // successor reads too stays open, and what waits there is the successor's.
+        if !self.life.ask(|machine, _| machine.shared()) {
+            let until = self.platform.now() + LAST_CALL;
+            while let Ok(Ok(stream)) = self.platform.timeout_at(until, listener.accept()).await {
+                self.welcome(stream);
+            }
+        }
         drop(listener);
-        while self.open.get() > 0 {
+        while self.open.get() + self.lingering.get() > 0 {
             self.left.notified().await;
         }
     }
@@ -125,17 +141,22 @@
                 // One that is woken may have just got its request and stay.
                 let _ = self.platform.timeout(Duration::from_millis(10), self.left.notified()).await;
             }
-            let stream = admit(&self.platform, listener, &self.counters).await;
-            count(&self.counters.frontend_connections);
-            let seat = Seat::take(self);
-            self.platform.detach(async move {
-                // A client that breaks off has left; there is nobody to tell.
-                let _ = seat.0.connection(stream).await;
-                drop(seat);
-            });
+            // Danger: without a descriptor for the next client nobody gets in, however many of the others are idle.
+            let stream = admit(&self.platform, listener, &self.counters, || self.evict()).await;
+            self.welcome(stream);
         }
     }
 
+    fn welcome(self: &Rc<Self>, stream: StreamOf<C>) {
+        count(&self.counters.frontend_connections);
+        let mut seat = Seat::take(self);
+        self.platform.detach(async move {
+            let frontend = seat.frontend.clone();
+            // A client that breaks off has left; there is nobody to tell.
+            let _ = frontend.connection(stream, &mut seat).await;
+        });
+    }
+
     /// Wakes the connection that can best be done without. Danger: hundreds that say nothing, or never end what
     /// they say, would take the places of clients that do; so those go first, then who has been idle longest.
     fn evict(&self) {
@@ -156,12 +177,14 @@
     platform: &P,
     listener: &P::Listener,
     counters: &Counters,
+    failed: impl Fn(),
 ) -> P::Stream {
     loop {
         match listener.accept().await {
             Ok(stream) => return stream,
             Err(_) => {
                 count(&counters.accept_failures);
+                failed();
                 platform.sleep(Duration::from_millis(5)).await;
             }
         }
@@ -169,18 +192,36 @@
 }
 
 /// A connection's place among all of them, given back when dropped.
-struct Seat<C: HttpBackend>(Rc<Frontend<C>>);
+struct Seat<C: HttpBackend> {
+    frontend: Rc<Frontend<C>>,
+    lingering: bool,
+}
 
 impl<C: HttpBackend> Seat<C> {
     fn take(frontend: &Rc<Frontend<C>>) -> Seat<C> {
         frontend.open.set(frontend.open.get() + 1);
-        Seat(frontend.clone())
+        Seat { frontend: frontend.clone(), lingering: false }
+    }
+
+    /// Its connection is on its way out and its place is another's, if there is one to linger in. Danger: who makes room
+    /// must make it at once, or more and more would be sent away for one that comes.
+    fn lingers(&mut self) -> bool {
+        let frontend = &self.frontend;
+        if frontend.lingering.get() >= frontend.spare {
+            return false;
+        }
+        self.lingering = true;
+        frontend.lingering.set(frontend.lingering.get() + 1);
+        frontend.open.set(frontend.open.get() - 1);
+        frontend.left.notify_one();
+        true
     }
 }
 
 impl<C: HttpBackend> Drop for Seat<C> {
     fn drop(&mut self) {
-        self.0.open.set(self.0.open.get() - 1);
-        self.0.left.notify_one();
+        let place = if self.lingering { &self.frontend.lingering } else { &self.frontend.open };
+        place.set(place.get() - 1);
+        self.frontend.left.notify_one();
     }
 }
--- a/crates/sidecar/src/frontend/reading.rs
+++ b/crates/sidecar/src/frontend/reading.rs
@@ -1,7 +1,7 @@
 //! Reading: what a client connection brings, and how long it has for that.
 
 use super::closing::bid_farewell;
-use super::{Frontend, HttpBackend, StreamOf, Waiting};
+use super::{Frontend, HttpBackend, Seat, StreamOf, Waiting};
 use crate::counters::count;
 use crate::http::server::{Connection, Status, Step};
 use crate::lifecycle::Machine;
@@ -19,7 +19,7 @@
 const GRACE: Duration = Duration::from_millis(300);
 
 impl<C: HttpBackend> Frontend<C> {
-    pub(super) async fn connection(&self, mut stream: StreamOf<C>) -> io::Result<()> {
+    pub(super) async fn connection(&self, mut stream: StreamOf<C>, seat: &mut Seat<C>) -> io::Result<()> {
         stream.set_nodelay()?;
         let mut machine = Connection::default();
         let connected = self.platform.now();
@@ -51,7 +51,17 @@
                             }
                         }
                         Read::Ended => return Ok(()),
-                        Read::Late if idle => return Ok(()),
+                        // Danger: a request may come in this moment. It is not read as one any more, but a close over
+                        // unread bytes would be a reset, and might take the last answer along.
+                        Read::Retired => return self.farewell(&mut stream, &machine).await,
+                        Read::Evicted => {
+                            return if seat.lingers() {
+                                self.farewell(&mut stream, &machine).await
+                            } else {
+                                Ok(())
+                            };
+                        }
+                        Read::Late if idle => return self.farewell(&mut stream, &machine).await,
                         Read::Late => {
                             let status = Status::RequestTimeout;
                             self.reply(&mut stream, &mut machine, status, "", b"", true).await?;
@@ -79,7 +89,11 @@
                 }
             }
         }
-        bid_farewell(&self.platform, &mut stream, machine.uploading()).await
+        self.farewell(&mut stream, &machine).await
+    }
+
+    async fn farewell(&self, stream: &mut StreamOf<C>, machine: &Connection) -> io::Result<()> {
+        bid_farewell(&self.platform, stream, machine.uploading()).await
     }
 
     /// Reads more of a request that the connection `owes` since then, or waits for one that may never come.
@@ -101,8 +115,8 @@
         let read = tokio::select! {
             biased;
             read = stream.read_buf(machine.buffer()) => read.map(|n| if n > 0 { Read::Bytes(n) } else { Read::Ended }),
-            () = wake.notified() => Ok(Read::Ended),
-            () = self.life.until(retired), if idle => Ok(Read::Ended),
+            () = wake.notified() => Ok(Read::Evicted),
+            () = self.life.until(retired), if idle => Ok(Read::Retired),
             () = self.platform.sleep_until(until), if owes.is_some() => {
                 count(&self.counters.frontend_mute);
                 Ok(Read::Late)
@@ -117,8 +131,12 @@
 enum Read {
     /// So many bytes came.
     Bytes(usize),
-    /// By the client's end, or as room is needed, or on the way out.
+    /// By the client's end.
     Ended,
+    /// As room is needed.
+    Evicted,
+    /// On the way out.
+    Retired,
     /// A request was owed and did not come in time.
     Late,
 }
--- a/crates/sidecar/src/frontend/waiting.rs
+++ b/crates/sidecar/src/frontend/waiting.rs
@@ -97,17 +97,20 @@
             let served = self.host.serve(opening, due);
             tokio::pin!(served);
             loop {
-                // Danger: a client's close is only seen by reading; so that is done while it waits, within
-                // bounds, and what comes early is kept for the next request.
+                // Danger: a client's close is only seen by reading; so that is done while it waits, and what comes
+                // early is kept for the next request, within bounds. Behind a flood lies an end too.
                 let coming = payload.upload.as_ref().filter(|upload| !upload.whole());
-                let listens = coming.is_some() || !machine.full();
+                let listens = coming.is_some() || !machine.flooded();
                 let feed = async {
                     match coming {
                         Some(upload) => self.feed(stream, machine, upload, &mut patience).await,
-                        None => match stream.read_buf(machine.buffer()).await {
-                            Ok(1..) => Ok(Fed::Piece),
-                            _ => Ok(Fed::Gone),
-                        },
+                        None => {
+                            let buffer = if machine.full() { machine.excess() } else { machine.buffer() };
+                            match stream.read_buf(buffer).await {
+                                Ok(1..) => Ok(Fed::Piece),
+                                _ => Ok(Fed::Gone),
+                            }
+                        }
                     }
                 };
                 let fed = tokio::select! {
--- a/crates/sidecar/src/http/server.rs
+++ b/crates/sidecar/src/http/server.rs
@@ -132,6 +132,10 @@
     /// The request at hand is HTTP/1.0, whose sender knows no chunks.
     old: bool,
     cut: bool,
+    scratch: BytesMut,
+    spilt: usize,
+    /// Something that came was not kept.
+    cut_off: bool,
 }
 
 impl Default for Connection {
@@ -143,6 +147,9 @@
             keep: true,
             old: false,
             cut: false,
+            scratch: BytesMut::new(),
+            spilt: 0,
+            cut_off: false,
         }
     }
 }
@@ -179,11 +186,25 @@
         matches!(self.phase, Phase::Closed)
     }
 
-    /// So much lies unread that no more should be read until the request at hand is answered.
+    /// So much lies unread that what comes is not kept until the request at hand is answered.
     pub fn full(&self) -> bool {
         self.buffer.len() >= MAX_BODY
     }
 
+    /// The buffer for what comes beyond that. It is read for the end that may lie behind it and thrown away, and the
+    /// connection ends with the answer, as it has a hole now.
+    pub fn excess(&mut self) -> &mut BytesMut {
+        self.spilt += self.scratch.len();
+        self.cut_off = true;
+        self.scratch.clear();
+        roomy(&mut self.scratch, WINDOW)
+    }
+
+    /// More has been thrown away than any message holds.
+    pub fn flooded(&self) -> bool {
+        self.spilt > MAX_BULK
+    }
+
     /// Looks at what has come.
     pub fn step(&mut self) -> Step {
         match self.try_step() {
@@ -280,7 +301,7 @@
     /// The request at hand is answered; what its answer says of the connection.
     fn conclude(&mut self, close: bool) -> &'static str {
         self.cut = matches!(self.phase, Phase::Upload(_));
-        self.keep &= !close && matches!(self.phase, Phase::Owed);
+        self.keep &= !close && !self.cut_off && matches!(self.phase, Phase::Owed);
         self.phase = if self.keep { Phase::Head } else { Phase::Closed };
         if self.keep { "" } else { "Connection: close\r\n" }
     }
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -97,7 +97,8 @@
     let Parts { listener, ops, control, life, counters, fleet } = parts;
     // Danger: where the listener is inherited a second process may run beside this one, and both count as one.
     let sockets = if config.socket.is_some() { config.sockets / 2 } else { config.sockets };
-    let connections = sockets.saturating_sub(RESERVE.min(sockets / 4));
+    let reserve = RESERVE.min(sockets / 3);
+    let connections = sockets.saturating_sub(reserve);
     let (to_clients, to_backends) = (connections * 11 / 20, connections * 9 / 20);
     let (idle, dial) = (config.net.idle, config.net.connect_timeout);
     let (instances, seed) = (config.settings.instances, config.seed);
@@ -151,7 +152,13 @@
         [task, leave]
     });
     let door = ops.map(|ops| {
-        let door = Door::new(host.clone(), directory.clone(), life.clone(), counters.clone(), fleet.clone());
+        let door = Door::new(
+            host.clone(),
+            directory.clone(),
+            life.clone(),
+            counters.clone(),
+            (fleet.clone(), reserve / 3),
+        );
         platform.spawn(door.run(ops))
     });
     let frontend = Frontend::new(
@@ -160,7 +167,7 @@
         config.net.tenants,
         life.clone(),
         counters,
-        [to_clients, config.memory / 4],
+        [to_clients, reserve / 6, config.memory / 4],
         fleet.clone(),
     );
     let force = Force {
--- a/crates/sidecar/src/lifecycle.rs
+++ b/crates/sidecar/src/lifecycle.rs
@@ -50,9 +50,16 @@
         Machine { born: now, shared, kill, listed: false, fresh: false, drain: None, term: None }
     }
 
-    /// Clients wait for `longest` at most.
+    /// Clients wait for `longest` at most. Danger: whoever has sent SIGTERM counts from there by what was in force then, so
+    /// after it the time only gets shorter.
     pub fn longest(&mut self, longest: Duration) {
-        self.kill = longest.min(LONGEST) + NOTICE;
+        let kill = longest.min(LONGEST) + NOTICE;
+        self.kill = if self.leaving() { kill.min(self.kill) } else { kill };
+    }
+
+    /// Another process may read the listening socket.
+    pub fn shared(&self) -> bool {
+        self.shared
     }
 
     /// The list of backend servers is known, or known to be empty; `fresh` if discovery said so to this process.
--- a/crates/sidecar/tests/crossings.rs
+++ b/crates/sidecar/tests/crossings.rs
@@ -166,6 +166,201 @@
     );
 }
 
+// ---- Clients that leave ---------------------------------------------------------------------------------------
+
+/// Leaves the sidecar's thread, which is the test's, standing until then: what comes due or comes in meanwhile crosses.
+fn stand_still(time: Duration) {
+    std::thread::sleep(time);
+}
+
+/// A client that is gone: by an orderly end or by a reset.
+fn gone(client: Peer, reset: bool) {
+    if reset { client.reset() } else { drop(client) }
+}
+
+#[test]
+fn whoever_leaves_while_a_connection_is_made_has_nothing_sent() {
+    for reset in [false, true] {
+        story_with(
+            |text| text.replace("\"dial-timeout-ns\":200000000", "\"dial-timeout-ns\":9000000000"),
+            |sidecar| async move {
+                sidecar.gates.shut(sidecar.server());
+                let mut client = Peer::to(&sidecar).await;
+                client.say(BOOK).await;
+                sidecar.gates.waits().await;
+                gone(client, reset);
+                rest().await;
+                sidecar.gates.open(sidecar.server());
+                rest().await;
+                let counters = &sidecar.counters;
+                assert_eq!((counters.withdrawn.get(), counters.backend_connections.get()), (1, 0));
+            },
+        );
+    }
+}
+
+#[test]
+fn whoever_leaves_between_two_attempts_has_no_further_one() {
+    for reset in [false, true] {
+        story_with(
+            |text| text.replace("\"dial-timeout-ns\":200000000", "\"dial-timeout-ns\":9000000000"),
+            |sidecar| async move {
+                let mut client = Peer::to(&sidecar).await;
+                client.say(PLAN).await;
+                let mut server = next(&sidecar.backend).await;
+                server.hear().await;
+                sidecar.gates.shut(sidecar.server());
+                server.reset();
+                sidecar.gates.waits().await;
+                gone(client, reset);
+                rest().await;
+                sidecar.gates.open(sidecar.server());
+                rest().await;
+                let counters = &sidecar.counters;
+                assert_eq!((counters.dispatches.get(), counters.backend_connections.get()), (2, 1));
+                assert_eq!((counters.withdrawn.get(), counters.served.get()), (1, 0));
+            },
+        );
+    }
+}
+
+/// The end of a client that sent more than is read ahead lies behind what it sent; it is seen all the same, and of the flood
+/// nothing is held.
+#[test]
+fn whoever_sends_a_flood_behind_its_request_and_goes_is_gone() {
+    story(|sidecar| async move {
+        for (id, reset) in [(1, false), (2, true)] {
+            let mut client = Peer::to(&sidecar).await;
+            client.say(&PLAN.replace(": 1", &format!(": {id}"))).await;
+            let mut server = next(&sidecar.backend).await;
+            server.hear().await;
+            let flood = "GET /plan/2 HTTP/1.1\r\nX-Pad: 0123456789\r\n\r\n".repeat(20_000);
+            client.say(&flood).await;
+            gone(client, reset);
+            assert_eq!(server.hear().await, "", "its attempt is given up");
+            assert_eq!((sidecar.counters.withdrawn.get(), sidecar.counters.dispatches.get()), (id, id));
+        }
+    });
+}
+
+/// One that sends a flood and stays gets the answer to its request, and the connection ends with it.
+#[test]
+fn a_flood_behind_a_request_ends_its_connection_with_the_answer() {
+    story(|sidecar| async move {
+        let mut client = Peer::to(&sidecar).await;
+        client.say(PLAN).await;
+        let mut server = next(&sidecar.backend).await;
+        server.hear().await;
+        client.say(&"x".repeat(200_000)).await;
+        rest().await;
+        server.say("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok").await;
+        let answer = client.hear().await;
+        assert!(answer.starts_with("HTTP/1.1 200") && answer.contains("Connection: close"), "{answer}");
+        assert_eq!(client.hear().await, "");
+        assert_eq!(sidecar.counters.sessions.get(), 1);
+    });
+}
+
+/// A client that ends its sending has closed, as far as anybody can tell; the protocol page knows no half close of a client.
+#[test]
+fn an_end_of_sending_counts_as_a_leave_also_behind_a_request_that_was_sent_early() {
+    story(|sidecar| async move {
+        let mut client = Peer::to(&sidecar).await;
+        client.say(&format!("{PLAN}{}", PLAN.replace(": 1", ": 7"))).await;
+        let mut server = next(&sidecar.backend).await;
+        assert!(server.hear().await.contains("X-Call-Id: 1\r\n"));
+        tokio::io::AsyncWriteExt::shutdown(&mut client.0).await.expect("a socket");
+        assert_eq!(server.hear().await, "");
+        rest().await;
+        assert_eq!((sidecar.counters.withdrawn.get(), sidecar.counters.sessions.get()), (1, 1));
+    });
+}
+
+// ---- Shutdown -------------------------------------------------------------------------------------------------
+
+/// So long after SIGTERM a sidecar of these settings (3 s, kill after 3.7 s) takes requests.
+const LINGER: Duration = Duration::from_millis(2500);
+
+/// A connection that the machine has accepted is the sidecar's, though it lets its listener go in the same instant.
+#[test]
+fn a_connection_that_waits_when_the_listener_is_let_go_is_served() {
+    story(|sidecar| async move {
+        sidecar.life.begin();
+        Tokio.sleep(LINGER - 100 * MS).await;
+        // Both lie there when the sidecar goes on: its time is over, and the request has come.
+        let mut late = std::net::TcpStream::connect(&sidecar.address).expect("it listens");
+        std::io::Write::write_all(&mut late, PLAN.as_bytes()).expect("a request");
+        stand_still(200 * MS);
+        late.set_nonblocking(true).expect("a socket");
+        let mut late = Peer(tokio::net::TcpStream::from_std(late).expect("a socket"));
+        let mut server = next(&sidecar.backend).await;
+        server.hear().await;
+        server.say("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await;
+        let answer = late.hear().await;
+        assert!(answer.starts_with("HTTP/1.1 200") && answer.contains("Connection: close"), "{answer}");
+        sidecar.ended.await.expect("no panic").expect("a clean end");
+    });
+}
+
+/// A request that comes on a resting connection in the moment in which that is closed is served; one that comes after is not
+/// read as one, and its connection ends in order.
+#[test]
+fn a_request_that_crosses_the_close_of_a_resting_connection_is_served_or_its_close_is_clean() {
+    story(|sidecar| async move {
+        let mut clients = Vec::new();
+        // More than may linger while others need their places.
+        for _ in 0..20 {
+            let mut client = Peer::to(&sidecar).await;
+            client.say("GET /up HTTP/1.1\r\n\r\n").await;
+            assert!(client.hear().await.starts_with("HTTP/1.1 200"));
+            clients.push(client);
+        }
+        let mut crosses = clients.remove(0);
+        sidecar.life.begin();
+        Tokio.sleep(LINGER - 100 * MS).await;
+        crosses.say(PLAN).await;
+        stand_still(200 * MS);
+        let mut server = next(&sidecar.backend).await;
+        server.hear().await;
+        for after in &mut clients {
+            assert_eq!(after.0.peek(&mut [0]).await.expect("an orderly end"), 0);
+        }
+        for _ in 0..3 {
+            for after in &mut clients {
+                after.say(&PLAN.replace(": 1", ": 9")).await;
+            }
+            Tokio.sleep(10 * MS).await;
+        }
+        for after in &mut clients {
+            assert_eq!(after.end().await.expect("no reset"), "");
+        }
+        server.say("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await;
+        assert!(crosses.hear().await.contains("Connection: close"));
+        assert_eq!(sidecar.counters.sessions.get(), 1);
+        sidecar.ended.await.expect("no panic").expect("a clean end");
+    });
+}
+
+/// A request that was half read at SIGTERM and is whole when nothing can come of it any more is denied, and not begun.
+#[test]
+fn a_request_that_is_whole_too_late_for_an_attempt_is_denied_at_once() {
+    story(|sidecar| async move {
+        sidecar.life.begin();
+        Tokio.sleep(LINGER - 100 * MS).await;
+        let mut half = Peer::to(&sidecar).await;
+        let (head, rest) = PLAN.split_at(20);
+        half.say(head).await;
+        // Answers are due 3.4 s after SIGTERM.
+        Tokio.sleep(1100 * MS).await;
+        half.say(rest).await;
+        let answer = half.hear().await;
+        assert!(answer.starts_with("HTTP/1.1 503") && answer.contains("Retry-After: "), "{answer}");
+        assert!(answer.contains("Connection: close"));
+        assert_eq!((sidecar.counters.dispatches.get(), sidecar.counters.overdue.get()), (0, 0));
+        sidecar.ended.await.expect("no panic").expect("a clean end");
+    });
+}
+
 // ---- Attempts -------------------------------------------------------------------------------------------------
 
 const PAY: &str = "POST /pay HTTP/1.1\r\nX-Call-Id: 3\r\nX-Budget: 30000m\r\nIdempotency-Key: k\r\nContent-Length: 2\r\n\r\nhi";
--- a/crates/sidecar/tests/parts.rs
+++ b/crates/sidecar/tests/parts.rs
@@ -103,6 +103,13 @@
         let until = machine.accepts_until().expect("it leaves");
         assert!(if shared { until == begun } else { until > begun + ms(700) && until < last });
         assert!(machine.closes(until) && machine.idle_until(0.99).is_some_and(|at| at < last));
+        // New settings on the way out: whoever waits with SIGKILL knows those that were in force.
+        machine.longest(ms(60_000));
+        assert_eq!(machine.due(begun + ms(700)), Some(last));
+        machine.longest(ms(1000));
+        assert_eq!(machine.due(begun + ms(1000)), Some(begun + ms(1400)));
+        machine.longest(ms(60_000));
+        assert_eq!(machine.due(begun + ms(1000)), Some(begun + ms(1400)));
     }
 }
 
