--- a/crates/module/tests/common/mod.rs
+++ b/crates/module/tests/common/mod.rs
@@ -31,7 +31,11 @@
 
 impl Drive {
     pub fn new(settings: Settings, members: Vec<Member>) -> Drive {
-        let balancer = Balancer::new(settings, 11).expect("settings are sound");
+        Drive::seeded(settings, members, 11)
+    }
+
+    pub fn seeded(settings: Settings, members: Vec<Member>, seed: u64) -> Drive {
+        let balancer = Balancer::new(settings, seed).expect("settings are sound");
         let mut drive = Drive { balancer, now: Duration::from_secs(100), timers: Vec::new(), next: 0 };
         drive.tell(Event::Start);
         drive.tell(Event::Members { scope: ListScope::Remembered, entries: members });
