Calls to a discovery that refuses begin further apart and outlast its queue

Change: after a refused call the first wait is half of 1.3 s on average, then 1.3 s; the answer has 2 s beyond the hold; only a silent call is followed by a quick one, so the bound of 6 s stands, which the test holds.

--- a/crates/sidecar/src/watch.rs
+++ b/crates/sidecar/src/watch.rs
@@ -23,9 +23,11 @@
 const PATIENCE_AGENT: Duration = Duration::from_millis(100);
 /// One in so many of those calls has more time, as this process may be held up itself.
 const HELD_UP: u32 = 4;
-/// A call that follows silent ones has more time: a swamped discovery answers late, and calls that are given up swamp it.
-/// So has the whole list. Danger: after a move that counts as told within 4 s, and a call may fall silent.
-const PATIENCE_LONG: Duration = Duration::from_millis(1500);
+/// A call that follows refused ones has this much more. Danger: a swamped discovery answers late, and a call that is given
+/// up before that has cost it as much as one that is answered.
+const PATIENCE_SWAMPED: Duration = Duration::from_secs(2);
+/// The whole list after a move has this much. Danger: the move counts 4 s later, and a call may fall silent.
+const PATIENCE_MOVED: Duration = Duration::from_millis(1500);
 /// News that is owed is asked for again so soon on average, then after twice as long, ...
 const SOON: Duration = Duration::from_millis(50);
 /// ... so many times in all; then as after a call that was refused.
@@ -67,21 +69,33 @@
     apart: Duration,
     /// Calls in a row that failed.
     failed: u32,
-    /// Of those, calls since the first that may have lost news.
-    owed: u32,
-    /// Of those, the last ones that were not answered.
-    silent: u32,
+    /// So many of the next ones are quick, as news is owed, ...
+    quick: u32,
+    /// ... and so many of the last ones were.
+    was_quick: u32,
+    /// Waits in a row that were not.
+    apart_for: u32,
     /// Older lists in a row.
     older: u32,
     begun: bool,
+    moved: bool,
 }
 
 impl Watch {
     /// One that has called nobody yet.
     pub fn new(seed: u64) -> Watch {
-        let rng = fastrand::Rng::with_seed(seed);
-        let (failed, owed, silent, older) = (0, 0, 0, 0);
-        Watch { rng, pushed: false, apart: APART, failed, owed, silent, older, begun: false }
+        Watch {
+            rng: fastrand::Rng::with_seed(seed),
+            pushed: false,
+            apart: APART,
+            failed: 0,
+            quick: 0,
+            was_quick: 0,
+            apart_for: 0,
+            older: 0,
+            begun: false,
+            moved: false,
+        }
     }
 
     /// How lists come, and within what time the settings have them asked for.
@@ -93,16 +107,17 @@
     /// The next call; for the `whole` list it does not wait there.
     pub fn call(&mut self, whole: bool) -> Call {
         let first = !std::mem::replace(&mut self.begun, true);
+        let none = Duration::ZERO;
         let (hold, patience) = match (self.pushed, self.failed) {
             (true, 0) if !first => (HOLD_PUSHED, PATIENCE_PUSHED),
-            (true, n) if n > 0 && n % HELD_UP == 0 => (Duration::ZERO, PATIENCE_PUSHED),
-            (true, _) => (Duration::ZERO, PATIENCE_AGENT),
-            (false, _) if whole => (Duration::ZERO, PATIENCE_LONG),
+            (true, n) if n > 0 && n % HELD_UP == 0 => (none, PATIENCE_PUSHED),
+            (true, _) => (none, PATIENCE_AGENT),
+            (false, _) if whole && self.moved && self.apart_for == 0 => (none, PATIENCE_MOVED),
+            (false, _) if whole => (none, HOLD_AGAIN + PATIENCE_SWAMPED),
             (false, 0) => (HOLD, PATIENCE),
             // Danger: who is owed news hears at once whether there is any.
-            (false, _) if self.owed > 0 && self.silent < 2 => (Duration::ZERO, PATIENCE),
-            (false, _) if self.owed > 0 => (Duration::ZERO, PATIENCE_LONG),
-            (false, _) => (HOLD_AGAIN, PATIENCE),
+            (false, _) if self.quick > 0 => (none, PATIENCE),
+            (false, _) => (HOLD_AGAIN, PATIENCE_SWAMPED),
         };
         let hold = hold.mul_f64(1.0 - SPREAD * self.rng.f64());
         Call { hold, patience: hold + patience }
@@ -110,31 +125,38 @@
 
     /// It was answered with a list that was taken.
     pub fn told(&mut self) {
-        (self.failed, self.owed, self.silent, self.older) = (0, 0, 0, 0);
+        (self.failed, self.quick, self.was_quick, self.apart_for, self.older) = (0, 0, 0, 0, 0);
+        self.moved = false;
     }
 
     /// Discovery is somewhere else now: what failed there says nothing here.
     pub fn moved(&mut self) {
         self.told();
+        self.moved = true;
     }
 
     /// It failed; the next goes out after this time.
     pub fn failed(&mut self, how: Failure) -> Duration {
         self.failed = self.failed.saturating_add(1);
-        self.silent = if how == Failure::Silent { self.silent.saturating_add(1) } else { 0 };
         self.older += u32::from(how == Failure::Older);
-        if how != Failure::Refused || self.owed > 0 {
-            self.owed = self.owed.saturating_add(1);
-        }
+        self.quick = match (self.failed, self.quick) {
+            (1, _) if how != Failure::Refused => TRIES,
+            (_, left @ 1..) => left - 1,
+            // Refused ones say that discovery is there and has no time; after those a silent one has met a silent
+            // connection, and one quick call tells.
+            _ => u32::from(how != Failure::Refused),
+        };
         // Danger: news goes to a whole fleet at once and discovery is busy with it, so a call that follows in
         // the same instant is turned away; and all that were refused would come again in step.
-        let mean = match self.owed {
-            _ if self.pushed => SOON_PUSHED,
-            owed @ 1..=TRIES => SOON * (1 << (owed - 1)),
-            _ => {
-                let refused = self.failed.saturating_sub(self.owed.min(TRIES) + 1);
-                (self.apart / 5 * (1 << refused.min(8))).min(self.apart)
-            }
+        let mean = if self.pushed {
+            SOON_PUSHED
+        } else if self.quick > 0 {
+            self.was_quick += 1;
+            SOON * (1 << (self.was_quick - 1).min(TRIES - 1))
+        } else {
+            self.was_quick = 0;
+            self.apart_for = self.apart_for.saturating_add(1);
+            if self.apart_for > 1 { self.apart } else { self.apart / 2 }
         };
         mean.mul_f64(0.5 + self.rng.f64())
     }
