crossings: settings that several stories share are said once

Ruled out: a change of what is asserted; only the closures became two functions, and the drain during a dial has 9 s in place of 2 s for it, which it does not reach.

--- a/crates/sidecar/tests/crossings.rs
+++ b/crates/sidecar/tests/crossings.rs
@@ -22,6 +22,16 @@
     format!(r#"{{"name":"s","address":"{}","zone":"a","status":"{status}"}}"#, sidecar.server())
 }
 
+/// Settings of a customer to whose sidecars lists are pushed.
+fn pushed(text: String) -> String {
+    text.replace("\"subscribe\"", "\"automatic\"")
+}
+
+/// Connections to backend servers may take 9 s.
+fn slow_dials(text: String) -> String {
+    text.replace("\"dial-timeout-ns\":200000000", "\"dial-timeout-ns\":9000000000")
+}
+
 /// Whether a request of a class that may be repeated still gets to the backend server.
 async fn reaches(sidecar: &Sidecar) -> bool {
     let before = sidecar.counters.dispatches.get();
@@ -44,44 +54,38 @@
 /// The module asks to subscribe only where lists are asked for; an agent to which they are pushed is watched too.
 #[test]
 fn where_lists_are_pushed_the_agent_is_asked_at_once_and_watched() {
-    story_with(
-        |text| text.replace("\"subscribe\"", "\"automatic\""),
-        |sidecar| async move {
-            let mut agent = next(&sidecar.discovery).await;
-            assert!(agent.hear().await.starts_with("GET /discovery/hosts?from=1&hold_ms=0 "));
-            agent.say(&told(2, false, "")).await;
-            assert!(agent.hear().await.starts_with("GET /discovery/hosts?from=2&hold_ms="));
-            assert!(reaches(&sidecar).await);
-            agent.say(&told(3, false, &row(&sidecar, "draining"))).await;
-            assert!(agent.hear().await.contains("?from=3&"));
-            assert!(!reaches(&sidecar).await, "it was told that its only backend server drains");
-        },
-    );
+    story_with(pushed, |sidecar| async move {
+        let mut agent = next(&sidecar.discovery).await;
+        assert!(agent.hear().await.starts_with("GET /discovery/hosts?from=1&hold_ms=0 "));
+        agent.say(&told(2, false, "")).await;
+        assert!(agent.hear().await.starts_with("GET /discovery/hosts?from=2&hold_ms="));
+        assert!(reaches(&sidecar).await);
+        agent.say(&told(3, false, &row(&sidecar, "draining"))).await;
+        assert!(agent.hear().await.contains("?from=3&"));
+        assert!(!reaches(&sidecar).await, "it was told that its only backend server drains");
+    });
 }
 
 /// What an agent gets when discovery is back counts as told at once: whoever asks is there when it speaks again.
 #[test]
 fn an_agent_that_is_silent_is_asked_again_and_again_until_it_speaks() {
-    story_with(
-        |text| text.replace("\"subscribe\"", "\"automatic\""),
-        |sidecar| async move {
-            for _ in 0..6 {
-                let mut silent = next(&sidecar.discovery).await;
-                assert!(silent.hear().await.contains("?from=1&hold_ms=0 "));
-                assert_eq!(
-                    silent.hear().await,
-                    "",
-                    "its call is given up, on its connection nothing can come late"
-                );
-            }
-            let mut agent = next(&sidecar.discovery).await;
-            agent.hear().await;
-            agent.say(&told(2, true, &row(&sidecar, "draining"))).await;
-            assert!(agent.hear().await.contains("?from=2&"));
-            assert!(!reaches(&sidecar).await);
-            assert_eq!(sidecar.counters.discovery_silent.get(), 6);
-        },
-    );
+    story_with(pushed, |sidecar| async move {
+        for _ in 0..6 {
+            let mut silent = next(&sidecar.discovery).await;
+            assert!(silent.hear().await.contains("?from=1&hold_ms=0 "));
+            assert_eq!(
+                silent.hear().await,
+                "",
+                "its call is given up, on its connection nothing can come late"
+            );
+        }
+        let mut agent = next(&sidecar.discovery).await;
+        agent.hear().await;
+        agent.say(&told(2, true, &row(&sidecar, "draining"))).await;
+        assert!(agent.hear().await.contains("?from=2&"));
+        assert!(!reaches(&sidecar).await);
+        assert_eq!(sidecar.counters.discovery_silent.get(), 6);
+    });
 }
 
 /// After a call that failed the next one waits at discovery for little time: it may fall silent too, and a change counts as
@@ -146,43 +150,37 @@
 /// The notice of a drain comes while the connection for an attempt is being made: the attempt begins within the grace only.
 #[test]
 fn a_drain_told_while_a_connection_is_made_bars_the_attempt() {
-    story_with(
-        |text| text.replace("\"dial-timeout-ns\":200000000", "\"dial-timeout-ns\":2000000000"),
-        |sidecar| async move {
-            let mut discovery = next(&sidecar.discovery).await;
-            discovery.hear().await;
-            sidecar.gates.shut(sidecar.server());
-            let mut client = Peer::to(&sidecar).await;
-            client.say(PLAN).await;
-            sidecar.gates.waits().await;
-            discovery.say(&told(2, false, &row(&sidecar, "draining"))).await;
-            assert!(discovery.hear().await.contains("?from=2&"));
-            // Half of the grace of 250 ms is ours.
-            Tokio.sleep(150 * MS).await;
-            sidecar.gates.open(sidecar.server());
-            let mut server = next(&sidecar.backend).await;
-            assert!(client.hear().await.starts_with("HTTP/1.1 503"));
-            assert_eq!(server.hear().await, "", "not a byte");
-            assert_eq!(sidecar.counters.dispatch_barred.get(), 1);
-        },
-    );
+    story_with(slow_dials, |sidecar| async move {
+        let mut discovery = next(&sidecar.discovery).await;
+        discovery.hear().await;
+        sidecar.gates.shut(sidecar.server());
+        let mut client = Peer::to(&sidecar).await;
+        client.say(PLAN).await;
+        sidecar.gates.waits().await;
+        discovery.say(&told(2, false, &row(&sidecar, "draining"))).await;
+        assert!(discovery.hear().await.contains("?from=2&"));
+        // Half of the grace of 250 ms is ours.
+        Tokio.sleep(150 * MS).await;
+        sidecar.gates.open(sidecar.server());
+        let mut server = next(&sidecar.backend).await;
+        assert!(client.hear().await.starts_with("HTTP/1.1 503"));
+        assert_eq!(server.hear().await, "", "not a byte");
+        assert_eq!(sidecar.counters.dispatch_barred.get(), 1);
+    });
 }
 
 /// A sign of life is no answer: what is silent after it is asked again as if it had said nothing.
 #[test]
 fn a_call_that_is_silent_after_a_heartbeat_is_made_again() {
-    story_with(
-        |text| text.replace("\"subscribe\"", "\"automatic\""),
-        |sidecar| async move {
-            let mut beats = next(&sidecar.discovery).await;
-            beats.hear().await;
-            beats.say("HTTP/1.1 102 Processing\r\n\r\n").await;
-            let mut again = next(&sidecar.discovery).await;
-            assert!(again.hear().await.contains("?from=1&hold_ms=0 "));
-            assert_eq!(beats.hear().await, "");
-            assert_eq!(sidecar.counters.discovery_silent.get(), 1);
-        },
-    );
+    story_with(pushed, |sidecar| async move {
+        let mut beats = next(&sidecar.discovery).await;
+        beats.hear().await;
+        beats.say("HTTP/1.1 102 Processing\r\n\r\n").await;
+        let mut again = next(&sidecar.discovery).await;
+        assert!(again.hear().await.contains("?from=1&hold_ms=0 "));
+        assert_eq!(beats.hear().await, "");
+        assert_eq!(sidecar.counters.discovery_silent.get(), 1);
+    });
 }
 
 #[test]
@@ -232,46 +230,40 @@
 #[test]
 fn whoever_leaves_while_a_connection_is_made_has_nothing_sent() {
     for reset in [false, true] {
-        story_with(
-            |text| text.replace("\"dial-timeout-ns\":200000000", "\"dial-timeout-ns\":9000000000"),
-            |sidecar| async move {
-                sidecar.gates.shut(sidecar.server());
-                let mut client = Peer::to(&sidecar).await;
-                client.say(BOOK).await;
-                sidecar.gates.waits().await;
-                gone(client, reset);
-                rest().await;
-                sidecar.gates.open(sidecar.server());
-                rest().await;
-                let counters = &sidecar.counters;
-                assert_eq!((counters.withdrawn.get(), counters.backend_connections.get()), (1, 0));
-            },
-        );
+        story_with(slow_dials, |sidecar| async move {
+            sidecar.gates.shut(sidecar.server());
+            let mut client = Peer::to(&sidecar).await;
+            client.say(BOOK).await;
+            sidecar.gates.waits().await;
+            gone(client, reset);
+            rest().await;
+            sidecar.gates.open(sidecar.server());
+            rest().await;
+            let counters = &sidecar.counters;
+            assert_eq!((counters.withdrawn.get(), counters.backend_connections.get()), (1, 0));
+        });
     }
 }
 
 #[test]
 fn whoever_leaves_between_two_attempts_has_no_further_one() {
     for reset in [false, true] {
-        story_with(
-            |text| text.replace("\"dial-timeout-ns\":200000000", "\"dial-timeout-ns\":9000000000"),
-            |sidecar| async move {
-                let mut client = Peer::to(&sidecar).await;
-                client.say(PLAN).await;
-                let mut server = next(&sidecar.backend).await;
-                server.hear().await;
-                sidecar.gates.shut(sidecar.server());
-                server.reset();
-                sidecar.gates.waits().await;
-                gone(client, reset);
-                rest().await;
-                sidecar.gates.open(sidecar.server());
-                rest().await;
-                let counters = &sidecar.counters;
-                assert_eq!((counters.dispatches.get(), counters.backend_connections.get()), (2, 1));
-                assert_eq!((counters.withdrawn.get(), counters.served.get()), (1, 0));
-            },
-        );
+        story_with(slow_dials, |sidecar| async move {
+            let mut client = Peer::to(&sidecar).await;
+            client.say(PLAN).await;
+            let mut server = next(&sidecar.backend).await;
+            server.hear().await;
+            sidecar.gates.shut(sidecar.server());
+            server.reset();
+            sidecar.gates.waits().await;
+            gone(client, reset);
+            rest().await;
+            sidecar.gates.open(sidecar.server());
+            rest().await;
+            let counters = &sidecar.counters;
+            assert_eq!((counters.dispatches.get(), counters.backend_connections.get()), (2, 1));
+            assert_eq!((counters.withdrawn.get(), counters.served.get()), (1, 0));
+        });
     }
 }
 
@@ -315,30 +307,27 @@
 /// Many that come and leave in one instant: nothing of them is sent on.
 #[test]
 fn a_burst_that_leaves_at_once_has_nothing_sent() {
-    story_with(
-        |text| text.replace("\"dial-timeout-ns\":200000000", "\"dial-timeout-ns\":9000000000"),
-        |sidecar| async move {
-            sidecar.gates.shut(sidecar.server());
-            let mut burst = Vec::new();
-            for id in 0..60 {
-                let mut client = Peer::to(&sidecar).await;
-                client.say(&PLAN.replace(": 1", &format!(": {id}"))).await;
-                burst.push(client);
-            }
-            rest().await;
-            let taken = sidecar.counters.sessions.get();
-            for (id, client) in burst.into_iter().enumerate() {
-                gone(client, id % 2 == 0);
-            }
-            stand_still(20 * MS);
-            sidecar.gates.open(sidecar.server());
-            rest().await;
-            let counters = &sidecar.counters;
-            let denied = counters.denied.get();
-            assert_eq!((taken, counters.withdrawn.get() + denied), (60, 60));
-            assert_eq!((counters.backend_connections.get(), counters.served.get()), (0, 0));
-        },
-    );
+    story_with(slow_dials, |sidecar| async move {
+        sidecar.gates.shut(sidecar.server());
+        let mut burst = Vec::new();
+        for id in 0..60 {
+            let mut client = Peer::to(&sidecar).await;
+            client.say(&PLAN.replace(": 1", &format!(": {id}"))).await;
+            burst.push(client);
+        }
+        rest().await;
+        let taken = sidecar.counters.sessions.get();
+        for (id, client) in burst.into_iter().enumerate() {
+            gone(client, id % 2 == 0);
+        }
+        stand_still(20 * MS);
+        sidecar.gates.open(sidecar.server());
+        rest().await;
+        let counters = &sidecar.counters;
+        let denied = counters.denied.get();
+        assert_eq!((taken, counters.withdrawn.get() + denied), (60, 60));
+        assert_eq!((counters.backend_connections.get(), counters.served.get()), (0, 0));
+    });
 }
 
 /// A client that ends its sending has closed, as far as anybody can tell; the protocol page knows no half close of a client.
@@ -501,10 +490,7 @@
 #[test]
 fn a_repeat_whose_connection_comes_up_after_its_window_is_not_sent() {
     story_with(
-        |text| {
-            let text = text.replace("\"dial-timeout-ns\":200000000", "\"dial-timeout-ns\":9000000000");
-            text.replace("\"key-ttl-ns\":5000000000", "\"key-ttl-ns\":800000000")
-        },
+        |text| slow_dials(text).replace("\"key-ttl-ns\":5000000000", "\"key-ttl-ns\":800000000"),
         |sidecar| async move {
             let mut client = Peer::to(&sidecar).await;
             client.say(PAY).await;
@@ -526,34 +512,31 @@
 /// In time it goes out; and a class that must never run twice does not, whatever the settings say of windows.
 #[test]
 fn a_repeat_in_its_window_is_sent_and_an_unsafe_request_never() {
-    story_with(
-        |text| text.replace("\"dial-timeout-ns\":200000000", "\"dial-timeout-ns\":9000000000"),
-        |sidecar| async move {
-            let mut client = Peer::to(&sidecar).await;
-            client.say(PAY).await;
-            let mut server = next(&sidecar.backend).await;
-            server.hear().await;
-            sidecar.gates.shut(sidecar.server());
-            server.reset();
-            sidecar.gates.waits().await;
-            sidecar.gates.open(sidecar.server());
-            let mut server = next(&sidecar.backend).await;
-            assert!(server.hear().await.ends_with("hi"));
-            server.say("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await;
-            assert!(client.hear().await.starts_with("HTTP/1.1 200"));
-            client.say(BOOK).await;
-            rest().await;
-            // On the connection that was kept, or on another.
-            let mut server = tokio::select! {
-                _ = Tokio.sleep(50 * MS) => server,
-                another = next(&sidecar.backend) => another,
-            };
-            assert!(server.hear().await.contains("/book"));
-            server.reset();
-            assert!(client.hear().await.starts_with("HTTP/1.1 502"));
-            assert_eq!((sidecar.counters.dispatches.get(), sidecar.counters.dispatch_outlived.get()), (3, 0));
-        },
-    );
+    story_with(slow_dials, |sidecar| async move {
+        let mut client = Peer::to(&sidecar).await;
+        client.say(PAY).await;
+        let mut server = next(&sidecar.backend).await;
+        server.hear().await;
+        sidecar.gates.shut(sidecar.server());
+        server.reset();
+        sidecar.gates.waits().await;
+        sidecar.gates.open(sidecar.server());
+        let mut server = next(&sidecar.backend).await;
+        assert!(server.hear().await.ends_with("hi"));
+        server.say("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await;
+        assert!(client.hear().await.starts_with("HTTP/1.1 200"));
+        client.say(BOOK).await;
+        rest().await;
+        // On the connection that was kept, or on another.
+        let mut server = tokio::select! {
+            _ = Tokio.sleep(50 * MS) => server,
+            another = next(&sidecar.backend) => another,
+        };
+        assert!(server.hear().await.contains("/book"));
+        server.reset();
+        assert!(client.hear().await.starts_with("HTTP/1.1 502"));
+        assert_eq!((sidecar.counters.dispatches.get(), sidecar.counters.dispatch_outlived.get()), (3, 0));
+    });
 }
 
 /// The server closes a connection that was kept as it is taken for the next request: that may have run.
