--- a/crates/sidecar/tests/common/program.rs
+++ b/crates/sidecar/tests/common/program.rs
@@ -3,7 +3,7 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
@@ -166,7 +166,7 @@
             .env("LB_CONFIG", files.join("config.json"))
             .env("LB_OPERATOR", files.join("operator.toml"))
             .env("LB_OPS", ops.to_string())
-            .stderr(Stdio::null())
+            .stderr(std::fs::File::create(files.join("stderr")).expect("a file"))
             .spawn()
             .expect("it starts");
         Sidecar { child, listen, ops, files }
@@ -191,7 +191,12 @@
                 std::thread::sleep(Duration::from_millis(700));
                 return self;
             }
-            assert!(began.elapsed() < Duration::from_secs(30), "it has its parts: {text}");
+            let said = || std::fs::read_to_string(self.files.join("stderr")).unwrap_or_default();
+            assert!(
+                began.elapsed() < Duration::from_secs(30),
+                "it has its parts: {text}; it said: {}",
+                said()
+            );
             std::thread::sleep(Duration::from_millis(20));
         }
     }
