--- a/crates/module/tests/cold.rs
+++ b/crates/module/tests/cold.rs
@@ -31,7 +31,7 @@
     starved: usize,
 }
 
-fn fleet(instances: u32, total: f64, load: Load, seed: u64) -> Came {
+fn fleet(instances: u32, total: f64, comes: Load, seed: u64) -> Came {
     let settings = Settings { instances, ..Settings::example() };
     let (rules, each) = (settings.rules.clone(), total / f64::from(instances));
     let mut rng = fastrand::Rng::with_seed(seed);
@@ -42,7 +42,7 @@
             Drive::seeded(settings, (0..rows).map(member).collect(), rng.u64(..))
         })
         .collect();
-    let well = |_| (Outcome::Ok, ms(30), load_of(2.0));
+    let well = |_| (Outcome::Ok, ms(30), load(2.0));
     // Each learns what a warm row takes of its calls.
     for d in &mut drives {
         let gap = secs(1.0 / each);
@@ -73,16 +73,16 @@
             }
             while next[i] <= now {
                 let since = (now - began).as_secs_f64();
-                let rate = match load {
+                let rate = match comes {
                     Load::Burst if since < 3.0 => each / 5.0,
                     Load::Burst if since < 4.0 => each * 3.0,
                     _ => each,
                 };
-                next[i] += match load {
+                next[i] += match comes {
                     Load::Burst if (3.0..4.0).contains(&since) => ms(100),
                     _ => secs(-(1.0 - rng.f64()).ln() / rate),
                 };
-                let calls = match load {
+                let calls = match comes {
                     Load::Burst if (3.0..4.0).contains(&since) => {
                         let due = rate / 10.0;
                         due as usize + usize::from(rng.f64() < due.fract())
@@ -90,9 +90,9 @@
                     _ => 1,
                 };
                 for _ in 0..calls {
-                    let answer = |to: UpstreamId| match load {
-                        Load::Full if to.0 < ROWS[0] => (Outcome::Full, ms(2), load_of(9.0)),
-                        _ => (Outcome::Ok, ms(30), load_of(if to.0 < ROWS[0] { 6.0 } else { 0.0 })),
+                    let answer = |to: UpstreamId| match comes {
+                        Load::Full if to.0 < ROWS[0] => (Outcome::Full, ms(2), load(9.0)),
+                        _ => (Outcome::Ok, ms(30), load(if to.0 < ROWS[0] { 6.0 } else { 0.0 })),
                     };
                     for to in called(d, answer) {
                         if to.0 >= ROWS[0] && knows[i] {
@@ -135,10 +135,6 @@
     went
 }
 
-fn load_of(queue: f64) -> Option<Report> {
-    load(queue)
-}
-
 fn secs(seconds: f64) -> Duration {
     Duration::from_secs_f64(seconds)
 }
--- a/crates/sidecar/tests/common/program.rs
+++ b/crates/sidecar/tests/common/program.rs
@@ -25,7 +25,7 @@
 }
 
 /// One message up to its blank line, without a body.
-fn head(stream: &mut TcpStream) -> Option<String> {
+pub fn head(stream: &mut TcpStream) -> Option<String> {
     let (mut text, mut byte) = (Vec::new(), [0]);
     while !text.ends_with(b"\r\n\r\n") {
         match stream.read(&mut byte) {
--- a/crates/sidecar/tests/processes.rs
+++ b/crates/sidecar/tests/processes.rs
@@ -60,14 +60,7 @@
 
 /// A message up to its blank line; empty where its sender has ended.
 fn head(stream: &mut TcpStream) -> String {
-    let (mut text, mut byte) = (Vec::new(), [0]);
-    while !text.ends_with(b"\r\n\r\n") {
-        match stream.read(&mut byte) {
-            Ok(1) => text.push(byte[0]),
-            _ => return String::new(),
-        }
-    }
-    String::from_utf8_lossy(&text).into_owned()
+    common::program::head(stream).unwrap_or_default()
 }
 
 fn connect(to: SocketAddr) -> TcpStream {
