Logging: level by LB_LOG, calls to discovery, lists and attempts in the log

Ruled out before: a list that was written and not in force; all late requests count from the limit of 6 s. Change: LB_LOG names the level (info as before); changes of discovery's state at info, calls, lists and attempts at debug, barred endpoints at trace. No decision changed.

--- a/crates/sidecar/src/directory.rs
+++ b/crates/sidecar/src/directory.rs
@@ -14,7 +14,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 #[derive(Debug)]
 struct Entry {
@@ -132,6 +132,16 @@
         &self.staleness
     }
 
+    /// The version of the list that is held, and the time since discovery confirmed it.
+    pub fn version(&self) -> Option<i64> {
+        self.index.get()
+    }
+
+    /// The time since discovery confirmed the list that is held, if it has since the start.
+    pub fn confirmed_age(&self, now: Instant) -> Option<Duration> {
+        self.staleness.confirmed_at().map(|at| now.saturating_duration_since(at))
+    }
+
     /// What has come of discovery and was not read.
     pub fn notices(&self) -> &Notices {
         &self.notices
@@ -182,6 +192,9 @@
             };
             barring.iter().filter(is_open).map(|record| (*record).clone()).collect()
         };
+        for EndpointRecord { name, address, state, .. } in &open {
+            tracing::trace!(%name, ?address, ?state, index, "endpoint is barred");
+        }
         self.book(&open, false)
     }
 
--- a/crates/sidecar/src/discovery/call.rs
+++ b/crates/sidecar/src/discovery/call.rs
@@ -10,6 +10,7 @@
 use bytes::{Bytes, BytesMut};
 use cometcroft_platform::{Elapsed, Platform, Stream};
 use std::cell::RefCell;
+use std::fmt;
 use std::future::{Future, poll_fn};
 use std::io;
 use std::net::SocketAddr;
@@ -46,10 +47,35 @@
     Silent,
 }
 
+impl fmt::Display for Outcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Outcome::Answered(EndpointList { index, whole, records }) => {
+                let scope = if *whole { "whole" } else { "changes" };
+                write!(f, "answered: version {index}, {scope}, {} rows", records.len())
+            }
+            Outcome::Broken(Some(error)) => write!(f, "broken: {error}"),
+            Outcome::Broken(None) => f.write_str("broken"),
+            Outcome::Refused => f.write_str("refused"),
+            Outcome::Unreachable => f.write_str("unreachable"),
+            Outcome::Silent => f.write_str("silent"),
+        }
+    }
+}
+
 /// A call that has ended, with its connection if that can be used again.
 pub(super) struct Ended<P: Platform> {
     pub outcome: Outcome,
     pub stream: Option<P::Stream>,
+    /// When the first byte of its answer was read.
+    pub first_byte: Option<Instant>,
+}
+
+impl<P: Platform> Ended<P> {
+    /// A call without an answer.
+    fn unanswered(outcome: Outcome) -> Ended<P> {
+        Ended { outcome, stream: None, first_byte: None }
+    }
 }
 
 /// Hears of a list while it arrives.
@@ -83,17 +109,26 @@
     let asked = tokio::select! {
         biased;
         asked = platform.timeout_at(until, asked(platform, kept, &question)) => asked,
-        () = abandonment.abandoned() => return Ended { outcome: Outcome::Unreachable, stream: None },
+        () = abandonment.abandoned() => return Ended::unanswered(Outcome::Unreachable),
     };
     let stream = match asked {
         Ok(Ok(stream)) => Rc::new(RefCell::new(stream)),
-        Ok(Err(_)) => return Ended { outcome: Outcome::Unreachable, stream: None },
-        Err(_) => return Ended { outcome: Outcome::Silent, stream: None },
+        Ok(Err(_)) => return Ended::unanswered(Outcome::Unreachable),
+        Err(_) => return Ended::unanswered(Outcome::Silent),
     };
     notices.expect_on(&stream);
     let (exchange, list) = (Exchange::streamed(MAX_LIST), ListReader::default());
-    let mut answer =
-        Answer { platform, stream, exchange, list, told: 0, is_list: false, abandonment, arrivals };
+    let mut answer = Answer {
+        platform,
+        stream,
+        exchange,
+        list,
+        first_byte: None,
+        told: 0,
+        is_list: false,
+        abandonment,
+        arrivals,
+    };
     let end = answer.receive(until).await;
     answer.conclude(end)
 }
@@ -165,6 +200,8 @@
     stream: Rc<RefCell<P::Stream>>,
     exchange: Exchange,
     list: ListReader,
+    /// When its first byte was read.
+    first_byte: Option<Instant>,
     /// So many records have been handed on.
     told: usize,
     /// The head has come and says that this is a list.
@@ -190,6 +227,7 @@
             }
             match self.read(until).await {
                 Ok(read) => {
+                    self.first_byte.get_or_insert_with(|| self.platform.now());
                     ended = read == 0;
                     unyielded += read;
                 }
@@ -271,23 +309,25 @@
     }
 
     fn conclude(mut self, end: End) -> Ended<P> {
-        let broken = |error| Ended { outcome: Outcome::Broken(error), stream: None };
+        let first_byte = self.first_byte;
+        let ended = |outcome| Ended { outcome, stream: None, first_byte };
         match end {
-            End::Refused => Ended { outcome: Outcome::Refused, stream: None },
-            End::Unreachable => Ended { outcome: Outcome::Unreachable, stream: None },
-            End::Silent => Ended { outcome: Outcome::Silent, stream: None },
+            End::Refused => ended(Outcome::Refused),
+            End::Unreachable => ended(Outcome::Unreachable),
+            End::Silent => ended(Outcome::Silent),
             // Nothing of the list is missing, even if the end of its framing is.
             End::Whole | End::Broken if self.list.is_complete() => match self.list.finish() {
                 Ok(list) => {
                     let reusable = end == End::Whole && self.exchange.reusable();
                     let stream = Rc::into_inner(self.stream).map(RefCell::into_inner);
-                    Ended { outcome: Outcome::Answered(list), stream: stream.filter(|_| reusable) }
+                    let stream = stream.filter(|_| reusable);
+                    Ended { outcome: Outcome::Answered(list), stream, first_byte }
                 }
-                Err(error) => broken(Some(error)),
+                Err(error) => ended(Outcome::Broken(Some(error))),
             },
             End::Whole | End::Broken => {
                 self.hand_on_arriving();
-                broken(self.list.finish().err())
+                ended(Outcome::Broken(self.list.finish().err()))
             }
         }
     }
--- a/crates/sidecar/src/discovery/mod.rs
+++ b/crates/sidecar/src/discovery/mod.rs
@@ -100,6 +100,7 @@
         running: Vec::new(),
         moved_away: Vec::new(),
         logged: None,
+        last_failure: None,
         report,
     };
     watcher.run(reports).await;
@@ -150,6 +151,8 @@
     moved_away: Vec<Rc<Abandonment>>,
     /// What was last found wrong with a list, until one is taken.
     logged: Option<ListError>,
+    /// How the last call failed, if it did.
+    last_failure: Option<Failure>,
     report: UnboundedSender<Report<C::Platform>>,
 }
 
@@ -164,6 +167,7 @@
                 () = source.moved.notified() => self.moved(),
                 () = directory.staleness().suspected() => {
                     let now = self.now();
+                    tracing::debug!(version = self.held, "the list is suspected to be out of date");
                     self.schedule.suspect(now);
                 }
                 Some(report) = reports.recv() => self.reported(report),
@@ -191,7 +195,8 @@
     }
 
     fn start(&mut self, call: Call) {
-        let Call { id, hold, patience, .. } = call;
+        let Call { id, hold, patience, replaces } = call;
+        tracing::debug!(call = %id, from = self.index, ?hold, ?patience, ?replaces, "discovery is called");
         count(&self.counters.discovery_calls);
         let target = match self.index {
             Some(index) => format!("/discovery/hosts?from={index}&hold_ms={}", hold.as_millis()),
@@ -247,7 +252,9 @@
         if self.running.len() == before {
             return;
         }
-        let Ended { outcome, stream } = ended;
+        let Ended { outcome, stream, first_byte } = ended;
+        let age = first_byte.map(|at| self.platform.since(at));
+        tracing::debug!(call = %id, %outcome, first_byte_ago = ?age, barred, "call to discovery ended");
         let failure = match outcome {
             Outcome::Answered(list) => {
                 self.idle = stream.or(self.idle.take());
@@ -268,6 +275,7 @@
                 Some(Failure::Silent)
             }
         };
+        self.log_change_of_state(failure);
         if let Some(failure) = failure {
             let now = self.now();
             let borne_out =
@@ -289,6 +297,7 @@
             Taken::News(news) => {
                 self.directory.staleness().confirmed(self.platform.now());
                 (self.index, self.held) = (Some(news.index), Some(news.index));
+                tracing::debug!(call = %id, version = news.index, scope = ?news.scope, rows = news.entries.len(), "list is in force");
                 self.logged = None;
                 for moved_away in self.moved_away.drain(..) {
                     moved_away.set(Standing::Superseded);
@@ -313,6 +322,18 @@
         }
     }
 
+    /// Logs that discovery answers again, or has ceased to.
+    fn log_change_of_state(&mut self, failure: Option<Failure>) {
+        if std::mem::replace(&mut self.last_failure, failure) == failure {
+            return;
+        }
+        let (version, age) = (self.held, self.directory.confirmed_age(self.platform.now()));
+        match failure {
+            None => tracing::info!(version, "discovery answers"),
+            Some(failure) => tracing::info!(version, ?age, ?failure, "discovery does not answer"),
+        }
+    }
+
     /// What came of the list binds; the rest is asked for.
     fn broken(&mut self, error: Option<ListError>) -> Failure {
         count(&self.counters.discovery_bad);
--- a/crates/sidecar/src/discovery/schedule.rs
+++ b/crates/sidecar/src/discovery/schedule.rs
@@ -6,6 +6,7 @@
 //! counts.
 
 use super::retry_cycle::{Period, RetryCycle};
+use std::fmt;
 use std::time::Duration;
 
 /// Time since the schedule's owner started.
@@ -73,6 +74,12 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct CallId(u64);
 
+impl fmt::Display for CallId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
 /// Why a call brought no list that could be taken.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Failure {
--- a/crates/sidecar/src/dispatch.rs
+++ b/crates/sidecar/src/dispatch.rs
@@ -61,6 +61,13 @@
         let carrier = self.clone();
         Box::pin(async move {
             let ended = carrier.attempt(to, &payload, carrier.platform().now() + timeout, latest).await;
+            tracing::debug!(
+                request = payload.request.id(),
+                endpoint = carrier.exchanger.directory.address(to).map(tracing::field::display),
+                attempt = payload.begun.get(),
+                outcome = ?ended.outcome,
+                "attempt ended"
+            );
             payload.ended.set(happened(ended.outcome).or(payload.ended.get()));
             ended
         })
--- a/crates/sidecar/src/exchange.rs
+++ b/crates/sidecar/src/exchange.rs
@@ -15,6 +15,7 @@
 use std::fmt;
 use std::future::poll_fn;
 use std::io;
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::Poll;
@@ -163,18 +164,26 @@
         poll_fn(|context| {
             if !self.directory.open_at(to, address) {
                 count(&self.counters.dispatch_barred);
+                self.log_first_byte(address, "is barred at an endpoint that drains, is gone or has moved");
                 return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
             }
             let written = Pin::new(&mut lease.stream).poll_write(context, message);
             if let Poll::Ready(Ok(_)) = written {
                 let open = self.directory.open(to);
                 invariant(&self.counters, open, "nothing begins at a backend server that is barred");
+                self.log_first_byte(address, "begins");
             }
             written
         })
         .await
     }
 
+    fn log_first_byte(&self, endpoint: SocketAddr, event: &str) {
+        let (version, age) =
+            (self.directory.version(), self.directory.confirmed_age(self.pool.platform().now()));
+        tracing::debug!(%endpoint, version, ?age, "attempt {event}");
+    }
+
     /// The window for repeats has ended before this one was written whole.
     fn outlived(&self) -> io::Error {
         count(&self.counters.dispatch_outlived);
--- a/crates/sidecar/src/http/server.rs
+++ b/crates/sidecar/src/http/server.rs
@@ -28,6 +28,12 @@
         self.path().split(|&b| b == b'/').nth(1).unwrap_or_default()
     }
 
+    /// Its id as it came, if it has one that can be read.
+    pub fn id(&self) -> Option<&str> {
+        let id = self.headers.single("x-call-id").ok()??;
+        std::str::from_utf8(id).ok()
+    }
+
     /// The time that the client waits, from the moment it sent the request.
     pub fn budget(&self) -> Result<Duration, Fault> {
         let value = self.headers.single("x-budget")?.ok_or(Fault::Malformed)?;
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod frontend;
 pub mod http;
 pub mod lifecycle;
+pub mod logging;
 pub mod notices;
 pub mod operator;
 pub mod probe;
--- a/crates/sidecar/src/main.rs
+++ b/crates/sidecar/src/main.rs
@@ -13,6 +13,7 @@
 use cometcroft_sidecar::counters::Counters;
 use cometcroft_sidecar::fleet::FleetParts;
 use cometcroft_sidecar::lifecycle::Life;
+use cometcroft_sidecar::logging;
 use cometcroft_sidecar::operator::{BudgetSection, FleetSection, Operator, PlanSection};
 use cometcroft_sidecar::purse::{BudgetParts, Use};
 use cometcroft_sidecar::retune::Control;
@@ -134,6 +135,13 @@
     if let Some(Command::Check { file, plan, explain }) = cli.command {
         return if plan { check_plan(&file, explain.as_deref()) } else { check(&file) };
     }
+    match logging::level(variable(logging::VARIABLE).as_deref()) {
+        Ok(level) => logging::start(level),
+        Err(error) => {
+            eprintln!("cometcroft: {error}");
+            return ExitCode::from(2);
+        }
+    }
     let config = match Config::load(variable) {
         Ok(config) => config,
         Err(error) => {
@@ -263,9 +271,8 @@
     cometcroft_sidecar::run(Tokio, config, Parts { listener, ops, control, life, counters, fleet }).await
 }
 
-/// Opens a member's sockets, and has its changes told in the log as lines of JSON.
+/// Opens a member's sockets, and has its changes told in the log.
 async fn join((member, budget, accord, section): Joins) -> std::io::Result<FleetParts<Tokio>> {
-    tracing_subscriber::fmt().json().with_writer(std::io::stderr).init();
     let at = section.listens();
     let named = |error: std::io::Error| std::io::Error::new(error.kind(), format!("fleet: {at}: {error}"));
     let socket = UdpSocket::bind(at).await.map_err(named)?;
--- a/crates/sidecar/tests/parts.rs
+++ b/crates/sidecar/tests/parts.rs
@@ -586,3 +586,12 @@
     let config = Config::parse(&value.to_string(), |_| None).expect("good");
     assert!(!config.settings.limits.second_copies, "the table has one dispatch of a session out at most");
 }
+
+#[test]
+fn the_level_of_the_log_is_named_or_refused() {
+    use cometcroft_sidecar::logging::level;
+    assert_eq!(level(None).map(|level| level.to_string()), Ok("info".to_owned()));
+    assert_eq!(level(Some("debug")).map(|level| level.to_string()), Ok("debug".to_owned()));
+    let refused = level(Some("loud")).map_err(|error| error.to_string());
+    assert_eq!(refused.unwrap_err(), "LB_LOG: \"loud\" is no level; off, error, warn, info, debug or trace");
+}
