Freshness: a list that discovery does not confirm lapses before changes count as told

Cause: what is held was used on for as long as discovery answered nothing; only the times of calls were to ensure that it is confirmed within 6 s (schedule.rs, retry_cycle.rs), and no choice of them can where discovery has not the time for all, or refuses a sidecar that has just started. Ruled out: lists read late or thrown away (late requests count from the limit, and the senders' logs show refused calls and none in flight). Change: sidecar::freshness (no I/O) says how long the list holds; write_first and the decision module (policy/trust.rs) ask it. The test of a list that takes 6 s now has the next call confirm it, and holds that nothing begins before. Two tests whose discovery was silent for over 2.5 s have one that answers.

--- a/crates/module/src/interface.rs
+++ b/crates/module/src/interface.rs
@@ -401,6 +401,17 @@
     Request(RequestId),
 }
 
+/// How far the list of upstreams can be relied on, counted from the event that tells it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Trust {
+    /// No upstream that is listed as ready drains unheard for so long.
+    pub list_for: Duration,
+    /// After that, one that took a request is ready for so long after the send.
+    pub accepted_for: Duration,
+    /// Where there is none, the one that took a request last may be sent to.
+    pub without_evidence: bool,
+}
+
 /// What a balancer hears.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Event {
@@ -413,6 +424,8 @@
         /// The entries.
         entries: Vec<Member>,
     },
+    /// How far the list can be relied on from now on. Hosts that never tell rely on it without end.
+    Trust(Trust),
     /// A discovery call failed or the subscription broke.
     DiscoveryRefused,
     /// A request has come; it is owed one final answer.
--- a/crates/module/src/policy.rs
+++ b/crates/module/src/policy.rs
@@ -10,6 +10,7 @@
 //! | [`subset`] | the part of the list that this balancer walks, and how often it leaves its own zone |
 //! | [`snapshot`] | the ranking of the rows and the pace of each |
 //! | [`walk`] | the row that a request goes to |
+//! | [`trust`] | which rows may be sent to while the list is not confirmed |
 //! | [`slow_start`] | what a cold upstream may be sent |
 //! | [`request`] | the attempts of a request and its one final answer |
 //! | [`admission`] | what is refused at once |
@@ -30,6 +31,7 @@
 mod snapshot;
 mod subset;
 mod table;
+mod trust;
 mod walk;
 
 use crate::interface::*;
@@ -40,6 +42,7 @@
 use std::collections::BTreeMap;
 use subset::ABROAD;
 use table::{Table, Upstream};
+use trust::ListTrust;
 
 /// The decisions of one balancer.
 #[derive(Debug)]
@@ -79,6 +82,7 @@
     probe_budget: f64,
     refreshed: Time,
     refused_lists: u32,
+    trust: ListTrust,
     memory: f64,
     actions: Vec<Action>,
 }
@@ -118,6 +122,7 @@
             probe_budget: 0.0,
             refreshed: Time::ZERO,
             refused_lists: 0,
+            trust: ListTrust::default(),
             actions: Vec::new(),
             // Danger: a quiet caller that forgets within a few calls never finds out who is slow.
             memory: memory.as_secs_f64(),
@@ -137,6 +142,7 @@
             Event::Start => self.start(now),
             Event::Members { scope, entries } => self.members(now, scope, &entries),
             Event::Retune { settings, from } => self.retune(*settings, &from),
+            Event::Trust(trust) => self.trust.told(now, trust),
             Event::DiscoveryRefused => self.discovery_refused(),
             Event::Request { request: id, class, tenant, left, hint, repeat } => {
                 let request = self.new_request(now, class, left, repeat);
@@ -150,6 +156,7 @@
             Event::Outcome { request, attempt, upstream, closed, outcome, latency, report } => {
                 self.report(now, upstream, report);
                 self.judge(now, request, upstream, outcome, latency);
+                self.note_accepted(now, upstream, outcome, latency);
                 self.let_go(upstream);
                 self.outcome(now, request, attempt, closed, outcome);
             }
--- a/crates/module/src/policy/table.rs
+++ b/crates/module/src/policy/table.rs
@@ -41,6 +41,8 @@
     pub(super) used: Time,
     /// When it last answered anything, a probe included.
     pub(super) heard: Time,
+    /// When the last request was sent that it took.
+    pub(super) accepted: Option<Time>,
     /// Own attempts out to it.
     pub(super) out: f64,
     /// It is one of the rows that are walked.
--- /dev/null
+++ b/crates/module/src/policy/trust.rs
@@ -0,0 +1,58 @@
+//! Trust: which rows may be sent to while the list of upstreams is not confirmed.
+
+use super::Balancer;
+use super::request::Request;
+use crate::interface::*;
+use std::time::Duration;
+
+/// How far the list can be relied on.
+#[derive(Debug, Default)]
+pub(super) struct ListTrust {
+    /// When it was told, and what. With none the list is relied on without end.
+    told: Option<(Time, Trust)>,
+    /// Rows without evidence are sent to as well, while one is looked for among them.
+    suspended: bool,
+}
+
+impl ListTrust {
+    /// It is told now.
+    pub(super) fn told(&mut self, now: Time, trust: Trust) {
+        self.told = Some((now, trust));
+    }
+
+    /// Whether an upstream may be sent to that is listed as ready and took a request sent at `accepted`.
+    pub(super) fn covers(&self, now: Time, accepted: Option<Time>) -> bool {
+        let Some((at, trust)) = self.told.filter(|_| !self.suspended) else { return true };
+        now < at + trust.list_for || accepted.is_some_and(|accepted| now < accepted + trust.accepted_for)
+    }
+
+    /// Whether one without evidence may be sent to where there is none with it.
+    fn does_without_evidence(&self) -> bool {
+        self.told.is_some_and(|(_, trust)| trust.without_evidence)
+    }
+}
+
+impl Balancer {
+    /// An attempt has ended: one that ran, or was answered with an error, was taken by its upstream.
+    pub(super) fn note_accepted(&mut self, now: Time, id: UpstreamId, outcome: Outcome, latency: Duration) {
+        let Some(up) = self.upstream_mut(id) else { return };
+        match outcome {
+            Outcome::Ok | Outcome::Error => up.accepted = up.accepted.max(Some(now.saturating_sub(latency))),
+            Outcome::Full => up.accepted = None,
+            _ => {}
+        }
+    }
+
+    /// The row that took a request last, if rows may be sent to without evidence.
+    pub(super) fn accepted_last(&mut self, now: Time, request: &Request) -> Option<usize> {
+        if !self.trust.does_without_evidence() {
+            return None;
+        }
+        self.trust.suspended = true;
+        let rows = self.rows.clone();
+        let open: Vec<usize> =
+            rows.into_iter().filter(|&at| self.may_take(now, at, request, false)).collect();
+        self.trust.suspended = false;
+        open.into_iter().max_by_key(|&place| self.table.upstreams[place].accepted)
+    }
+}
--- a/crates/module/src/policy/walk.rs
+++ b/crates/module/src/policy/walk.rs
@@ -43,7 +43,8 @@
             }
         }
         let place = (0..self.rows.len()).find(|&at| self.may_take(now, self.rows[at], request, false));
-        place.map(|at| self.table.ids[self.rows[at]])
+        let place = place.map(|at| self.rows[at]).or_else(|| self.accepted_last(now, request));
+        place.map(|place| self.table.ids[place])
     }
 
     /// The sound row whose turn is next, however far off.
@@ -54,7 +55,7 @@
         sound.into_iter().max_by(|a, b| credit(a).total_cmp(&credit(b)))
     }
 
-    fn may_take(&mut self, now: Time, place: usize, request: &Request, strict: bool) -> bool {
+    pub(super) fn may_take(&mut self, now: Time, place: usize, request: &Request, strict: bool) -> bool {
         self.is_eligible(now, place, request, strict) && self.cold_allows(now, place)
     }
 
@@ -63,7 +64,7 @@
         let class = &self.settings.classes[request.class];
         let alone = self.settings.rules.drain_binds_alone;
         let (up, id) = (&self.table.upstreams[place], self.table.ids[place]);
-        if !up.may_be_sent_to(alone) {
+        if !up.may_be_sent_to(alone) || !self.trust.covers(now, up.accepted) {
             return false;
         }
         // Rule 2: a keyed request that may have run goes only to those who drop its repeat, while they do.
--- a/crates/module/tests/scenarios.rs
+++ b/crates/module/tests/scenarios.rs
@@ -1070,3 +1070,40 @@
         "an inner tier doesn't know when the client began to wait"
     );
 }
+
+/// The list can be relied on for a second, and what an upstream took for two.
+fn trust(without_evidence: bool) -> Event {
+    Event::Trust(Trust { list_for: ms(1000), accepted_for: ms(2000), without_evidence })
+}
+
+#[test]
+fn while_the_list_is_not_confirmed_only_upstreams_that_took_a_request_lately_get_one() {
+    let mut d = Drive::new(Settings::example(), (0..3).map(member).collect());
+    d.tell(trust(false));
+    d.pass(ms(900));
+    let serves = |up: UpstreamId| match up.0 {
+        0 => (Outcome::Full, ms(1), None),
+        _ => (Outcome::Ok, ms(20), None),
+    };
+    for _ in 0..6 {
+        d.call(0, serves);
+    }
+    d.pass(ms(200));
+    for _ in 0..20 {
+        assert_ne!(d.call(0, serves), Some(UpstreamId(0)), "it turned the last one away");
+    }
+    d.pass(ms(2100));
+    let (_, actions) = d.ask(0, ms(2000));
+    assert!(refused(&actions), "nobody took one lately: {actions:?}");
+    d.tell(trust(false));
+    assert!(d.call(0, serves).is_some(), "the list is confirmed");
+}
+
+#[test]
+fn without_any_evidence_the_upstream_that_took_a_request_last_gets_the_next() {
+    let mut d = Drive::new(Settings::example(), (0..3).map(member).collect());
+    d.tell(trust(true));
+    let last = d.call(0, |_| (Outcome::Ok, ms(20), None));
+    d.pass(ms(60_000));
+    assert_eq!(d.call(0, |_| (Outcome::Ok, ms(20), None)), last);
+}
--- a/crates/sidecar/src/directory.rs
+++ b/crates/sidecar/src/directory.rs
@@ -6,6 +6,7 @@
 
 use crate::discovery::staleness::Staleness;
 use crate::endpoint_list::{EndpointList, EndpointRecord};
+use crate::freshness::Freshness;
 use crate::notices::Notices;
 use crate::start_clock::StartClock;
 use cometcroft::*;
@@ -25,6 +26,8 @@
     told: Member,
     /// What the fleet's plan says of it.
     verdict: Verdict,
+    /// When the last request began that it took since it started.
+    accepted: Option<Instant>,
 }
 
 impl Entry {
@@ -51,6 +54,7 @@
     next: Cell<u32>,
     zones: RefCell<Vec<String>>,
     staleness: Staleness,
+    freshness: Freshness,
     notices: Notices,
     start_clock: StartClock,
 }
@@ -86,8 +90,9 @@
 }
 
 impl Directory {
-    /// An empty directory; `now` is the module's clock at this moment, and `unix` the time since the Unix epoch.
-    pub fn new(zones: Vec<String>, now: Time, unix: Duration) -> Directory {
+    /// An empty directory. The module's clock at this moment is `origin`, the platform's `now`, and `unix` is the time since
+    /// the Unix epoch.
+    pub fn new(zones: Vec<String>, origin: Time, now: Instant, unix: Duration) -> Directory {
         Directory {
             judge: RefCell::new(None),
             entries: RefCell::default(),
@@ -97,8 +102,9 @@
             next: Cell::new(0),
             zones: RefCell::new(zones),
             staleness: Staleness::default(),
+            freshness: Freshness::new(now),
             notices: Notices::default(),
-            start_clock: StartClock::new(now, unix),
+            start_clock: StartClock::new(origin, unix),
         }
     }
 
@@ -132,7 +138,27 @@
         &self.staleness
     }
 
-    /// The version of the list that is held, and the time since discovery confirmed it.
+    /// How long the list may be used.
+    pub fn freshness(&self) -> &Freshness {
+        &self.freshness
+    }
+
+    /// Whether what is known of this backend server is fresh enough for a request to begin there.
+    pub fn is_fresh(&self, id: UpstreamId, now: Instant) -> bool {
+        let accepted = self.entries.borrow().get(&id).and_then(|entry| entry.accepted);
+        self.freshness.allows(accepted, now)
+    }
+
+    /// A backend server has answered a request that began at `began`, or has turned it away.
+    pub fn answered(&self, id: UpstreamId, began: Instant, turned_away: bool, now: Instant) {
+        self.staleness.answered(id, turned_away, now);
+        if let Some(entry) = self.entries.borrow_mut().get_mut(&id) {
+            let accepted = entry.accepted.map_or(began, |accepted| accepted.max(began));
+            entry.accepted = (!turned_away).then_some(accepted);
+        }
+    }
+
+    /// The version of the list that is held.
     pub fn version(&self) -> Option<i64> {
         self.index.get()
     }
@@ -267,7 +293,8 @@
             let verdict = self.judged(&record.name, &member);
             if let Some(address) = record.address.or(entries.get(&id).map(|entry| entry.address)) {
                 let since_ms = record.since_ms;
-                entries.insert(id, Entry { address, since_ms, told: member.clone(), verdict });
+                let accepted = same.filter(|entry| entry.address == address).and_then(|entry| entry.accepted);
+                entries.insert(id, Entry { address, since_ms, told: member.clone(), verdict, accepted });
             }
             if member.state == State::Gone {
                 // Nothing new goes there, and no table may grow with every machine that ever was.
--- a/crates/sidecar/src/discovery/call.rs
+++ b/crates/sidecar/src/discovery/call.rs
@@ -41,7 +41,9 @@
     Broken(Option<ListError>),
     /// It was refused.
     Refused,
-    /// No connection could be made, or it ended before a byte of an answer.
+    /// Nobody listened there.
+    NobodyListens,
+    /// No connection could be made otherwise, or it ended before a byte of an answer.
     Unreachable,
     /// It was given up without an answer.
     Silent,
@@ -57,6 +59,7 @@
             Outcome::Broken(Some(error)) => write!(f, "broken: {error}"),
             Outcome::Broken(None) => f.write_str("broken"),
             Outcome::Refused => f.write_str("refused"),
+            Outcome::NobodyListens => f.write_str("nobody listens"),
             Outcome::Unreachable => f.write_str("unreachable"),
             Outcome::Silent => f.write_str("silent"),
         }
@@ -113,6 +116,9 @@
     };
     let stream = match asked {
         Ok(Ok(stream)) => Rc::new(RefCell::new(stream)),
+        Ok(Err(error)) if says_that_nobody_listens(&error) => {
+            return Ended::unanswered(Outcome::NobodyListens);
+        }
         Ok(Err(_)) => return Ended::unanswered(Outcome::Unreachable),
         Err(_) => return Ended::unanswered(Outcome::Silent),
     };
@@ -133,6 +139,12 @@
     answer.conclude(end)
 }
 
+/// Danger: a connection that was reset, or that does not come up, may be at fault itself.
+fn says_that_nobody_listens(error: &io::Error) -> bool {
+    use io::ErrorKind::{ConnectionRefused, HostUnreachable, NetworkUnreachable};
+    matches!(error.kind(), ConnectionRefused | HostUnreachable | NetworkUnreachable)
+}
+
 /// Opens a connection, or takes the kept one, and writes the call.
 async fn asked<P: Platform>(
     platform: &P,
--- a/crates/sidecar/src/discovery/mod.rs
+++ b/crates/sidecar/src/discovery/mod.rs
@@ -31,6 +31,9 @@
 /// With no call due the owner looks again after this time.
 const IDLE: Duration = Duration::from_secs(60);
 
+/// A list that lapses so soon after it was taken was long on its way: the next call does not wait for news.
+const LAPSES_SOON: Duration = Duration::from_millis(4500);
+
 /// Where and how discovery answers. A new configuration may move it while the sidecar runs.
 #[derive(Debug)]
 pub struct Source {
@@ -109,6 +112,7 @@
 /// A call in flight. Dropped, it ends, and its connection closes.
 struct Running<T: Task> {
     id: CallId,
+    began: Instant,
     task: Option<T>,
     abandonment: Rc<Abandonment>,
 }
@@ -159,6 +163,8 @@
 impl<C: Carrier> Watcher<C> {
     async fn run(mut self, mut reports: UnboundedReceiver<Report<C::Platform>>) {
         let (source, directory) = (self.source.clone(), self.directory.clone());
+        directory.freshness().configure(source.manner.get().pushed);
+        self.tell_trust();
         loop {
             self.make_due_calls();
             let next = self.schedule.next_at().map_or(self.platform.now() + IDLE, |at| self.origin + at);
@@ -183,6 +189,7 @@
     fn make_due_calls(&mut self) {
         let Manner { pushed, ask_within } = self.source.manner.get();
         self.schedule.configure(pushed, ask_within);
+        self.directory.freshness().configure(pushed);
         while let Some(call) = self.schedule.poll(self.now(), self.index.is_none()) {
             if let Some(replaced) = call.replaces {
                 count(&self.counters.discovery_silent);
@@ -218,7 +225,7 @@
             let ended = call::make(&platform, kept, question, directory.notices(), &shared, &mut bars).await;
             bars.finish(ended);
         });
-        self.running.push(Running { id, task: Some(task), abandonment });
+        self.running.push(Running { id, began: self.platform.now(), task: Some(task), abandonment });
     }
 
     fn reported(&mut self, report: Report<C::Platform>) {
@@ -246,15 +253,13 @@
     }
 
     fn ended(&mut self, id: CallId, ended: Ended<C::Platform>, barred: bool) {
-        let before = self.running.len();
-        self.running.retain(|running| running.id != id);
-        // It was dropped when it had just reported.
-        if self.running.len() == before {
-            return;
-        }
+        // One that is abandoned may have reported just before.
+        let Some(at) = self.running.iter().position(|running| running.id == id) else { return };
+        let began = self.running.remove(at).began;
         let Ended { outcome, stream, first_byte } = ended;
         let age = first_byte.map(|at| self.platform.since(at));
         tracing::debug!(call = %id, %outcome, first_byte_ago = ?age, barred, "call to discovery ended");
+        let nobody_listens = matches!(outcome, Outcome::NobodyListens);
         let failure = match outcome {
             Outcome::Answered(list) => {
                 self.idle = stream.or(self.idle.take());
@@ -265,7 +270,7 @@
                 count(&self.counters.discovery_failures);
                 Some(Failure::Refused)
             }
-            Outcome::Unreachable => {
+            Outcome::NobodyListens | Outcome::Unreachable => {
                 count(&self.counters.discovery_failures);
                 Some(Failure::Unreachable)
             }
@@ -275,6 +280,18 @@
                 Some(Failure::Silent)
             }
         };
+        let (freshness, now) = (self.directory.freshness(), self.platform.now());
+        match (failure, first_byte) {
+            (None, Some(first_byte)) => {
+                freshness.confirmed(began, first_byte);
+                if freshness.holds_for(now) < LAPSES_SOON {
+                    self.schedule.ask_at_once();
+                }
+            }
+            _ if nobody_listens => freshness.nobody_listens(now),
+            _ => freshness.not_answered(began),
+        }
+        self.tell_trust();
         self.log_change_of_state(failure);
         if let Some(failure) = failure {
             let now = self.now();
@@ -322,6 +339,13 @@
         }
     }
 
+    /// Tells the decision module how long the list may be used.
+    fn tell_trust(&self) {
+        if let Some(trust) = self.directory.freshness().trust(self.platform.now()) {
+            self.host.tell(Event::Trust(trust));
+        }
+    }
+
     /// Logs that discovery answers again, or has ceased to.
     fn log_change_of_state(&mut self, failure: Option<Failure>) {
         if std::mem::replace(&mut self.last_failure, failure) == failure {
--- a/crates/sidecar/src/discovery/schedule.rs
+++ b/crates/sidecar/src/discovery/schedule.rs
@@ -163,6 +163,8 @@
     quick_made: u32,
     /// Lists of an older version in a row.
     older: u32,
+    /// The next call does not wait for news.
+    at_once: bool,
     /// The next call has been brought forward, as the list is suspected to be out of date.
     brought_forward: bool,
 }
@@ -186,6 +188,7 @@
             quick_left: 0,
             quick_made: 0,
             older: 0,
+            at_once: false,
             brought_forward: false,
         }
     }
@@ -214,7 +217,8 @@
         for call in &mut self.in_flight {
             call.overdue = None;
         }
-        let hold = self.hold(now, whole || beside || self.quick_left > 0);
+        let at_once = std::mem::take(&mut self.at_once);
+        let hold = self.hold(now, whole || beside || at_once || self.quick_left > 0);
         self.brought_forward = false;
         let id = CallId(self.next_id);
         self.next_id += 1;
@@ -238,6 +242,11 @@
         }
     }
 
+    /// The list that was taken was made long ago: the next call asks what has changed since.
+    pub fn ask_at_once(&mut self) {
+        self.at_once = true;
+    }
+
     /// A call failed.
     pub fn failed(&mut self, id: CallId, failure: Failure, now: Time) {
         let overtaken = self.overtaken(id);
--- a/crates/sidecar/src/exchange.rs
+++ b/crates/sidecar/src/exchange.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use cometcroft::{Outcome, UpstreamId};
 use cometcroft_platform::Platform;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::fmt;
 use std::future::poll_fn;
 use std::io;
@@ -107,11 +107,13 @@
             return Err(self.outlived());
         }
         let mut lease = lease?;
+        let first_byte = Cell::new(None);
         let whole = async {
             // What the request says of the time that is left is worked out behind this wait.
             self.notices_read().await;
             let message = message();
-            let written = self.write_first(to, &mut lease, &message).await?;
+            let (written, began) = self.write_first(to, &mut lease, &message).await?;
+            first_byte.set(Some(began));
             lease.stream.write_all(&message[written..]).await?;
             if let Some(upload) = upload {
                 let coding = if upload.framing().is_some() { Coding::Plain } else { Coding::Chunked };
@@ -131,7 +133,9 @@
         written();
         let mut exchange = Exchange::delimited(MAX_BULK);
         let answer = read_answer(self.pool.platform(), &mut lease.stream, &mut exchange, STALLED).await?;
-        self.directory.staleness().answered(to, answer.rejected(), platform.now());
+        if let Some(began) = first_byte.get() {
+            self.directory.answered(to, began, answer.rejected(), platform.now());
+        }
         let bulk = answer.bulk.is_some();
         if !bulk && exchange.reusable() {
             self.pool.put(to, lease);
@@ -157,11 +161,26 @@
         }
     }
 
-    /// Writes the first bytes of a request, unless the backend server is barred by now: the notice may have come since the
-    /// module decided, and a write may have to wait. This is the one place where anything begins at a backend server.
-    async fn write_first(&self, to: UpstreamId, lease: &mut Lease<P>, message: &[u8]) -> io::Result<usize> {
+    /// Writes the first bytes of a request, unless the backend server is barred by now or may be: the notice may have come since the
+    /// module decided, and a write may have to wait. Tells how many, and when they began at the earliest. This is the one place where anything begins at a backend server.
+    async fn write_first(
+        &self,
+        to: UpstreamId,
+        lease: &mut Lease<P>,
+        message: &[u8],
+    ) -> io::Result<(usize, Instant)> {
         let address = lease.address();
         poll_fn(|context| {
+            let now = self.pool.platform().now();
+            // Danger: what is not confirmed may have changed, and counts as told after a while all the same.
+            if !self.directory.is_fresh(to, now) {
+                count(&self.counters.dispatch_unconfirmed);
+                self.log_first_byte(
+                    address,
+                    "is barred at an endpoint that may drain, as the list is not confirmed",
+                );
+                return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
+            }
             if !self.directory.open_at(to, address) {
                 count(&self.counters.dispatch_barred);
                 self.log_first_byte(address, "is barred at an endpoint that drains, is gone or has moved");
@@ -173,7 +192,7 @@
                 invariant(&self.counters, open, "nothing begins at a backend server that is barred");
                 self.log_first_byte(address, "begins");
             }
-            written
+            written.map_ok(|written| (written, now))
         })
         .await
     }
--- /dev/null
+++ b/crates/sidecar/src/freshness.rs
@@ -0,0 +1,115 @@
+//! How long a list that discovery does not confirm may be used. No I/O.
+//!
+//! A change counts as told [`TOLD`] after discovery had it, whether or not it could answer all who asked. So what is held
+//! lapses that long after the instant as of which it was known to hold, and nobody can tell then whether an endpoint drains,
+//! but by the endpoint itself: one that drains turns new requests away after a while ([`WINDING_DOWN`]). Until the list is
+//! confirmed, requests begin only at endpoints that took one lately.
+
+use crate::discovery::schedule::TOLD;
+use cometcroft::Trust;
+use std::cell::Cell;
+use std::time::{Duration, Instant};
+
+/// An endpoint that drains may go on taking requests for so long after discovery lists it as draining.
+const WINDING_DOWN: Duration = Duration::from_millis(2500);
+/// Discovery may have made an answer so long before its first byte came.
+const MADE_BEFORE: Duration = Duration::from_millis(400);
+/// This process may be held up for so long between a look at the clock and a write.
+const HELD_UP: Duration = Duration::from_millis(150);
+/// The list that a process is started with holds for so long: its predecessor had it a moment ago.
+const KNOWN: Duration = Duration::from_millis(2500);
+/// After so many calls in a row that were made with a lapsed list and not answered, discovery counts as down: one that is
+/// only crowded would have answered one of them.
+const DOWN_FROM: u32 = 3;
+/// A list holds for so long.
+const LIST: Duration = TOLD.saturating_sub(HELD_UP);
+/// That an endpoint took a request shows for so long that it takes another.
+const ACCEPTED: Duration = LIST.saturating_sub(WINDING_DOWN);
+
+/// What is known of the list as a whole.
+#[derive(Debug)]
+pub struct Freshness {
+    /// Lists are pushed by an agent: what it does not tell does not count as told.
+    pushed: Cell<bool>,
+    /// No change counts as told before then that is not known here.
+    holds_until: Cell<Instant>,
+    /// Calls that were made since and not answered.
+    unanswered: Cell<u32>,
+    /// Nobody listened at the last call.
+    unreachable: Cell<bool>,
+}
+
+impl Freshness {
+    /// Of the list that a process is started with.
+    pub fn new(now: Instant) -> Freshness {
+        Freshness {
+            pushed: Cell::new(false),
+            holds_until: Cell::new(now + KNOWN),
+            unanswered: Cell::new(0),
+            unreachable: Cell::new(false),
+        }
+    }
+
+    /// How lists come by the settings.
+    pub fn configure(&self, pushed: bool) {
+        self.pushed.set(pushed);
+    }
+
+    /// Discovery has confirmed the list, with an answer to a call that began at `began`. It says nothing of what changed
+    /// while it was on its way.
+    pub fn confirmed(&self, began: Instant, first_byte: Instant) {
+        let as_of = first_byte.checked_sub(MADE_BEFORE).map_or(began, |made| made.max(began));
+        self.extend(as_of);
+        self.unanswered.set(0);
+        self.unreachable.set(false);
+    }
+
+    /// The list holds for so much longer, whatever becomes of calls.
+    pub fn holds_for(&self, now: Instant) -> Duration {
+        self.holds_until.get().saturating_duration_since(now)
+    }
+
+    /// Nobody listened where discovery is, so nothing counts as told before [`TOLD`] from now: what had not yet counted as
+    /// told counts anew from its return.
+    pub fn nobody_listens(&self, now: Instant) {
+        if now < self.holds_until.get() {
+            self.extend(now);
+        }
+        self.unreachable.set(true);
+    }
+
+    /// A call that began at `began` was not answered.
+    pub fn not_answered(&self, began: Instant) {
+        self.unreachable.set(false);
+        if began >= self.holds_until.get() {
+            self.unanswered.set(self.unanswered.get().saturating_add(1));
+        }
+    }
+
+    fn extend(&self, as_of: Instant) {
+        self.holds_until.set(self.holds_until.get().max(as_of + LIST));
+    }
+
+    /// Whether a request may begin at an endpoint that took another one, which began at `accepted`, if any.
+    pub fn allows(&self, accepted: Option<Instant>, now: Instant) -> bool {
+        let took_one_lately = || accepted.is_some_and(|at| now < at + ACCEPTED);
+        self.pushed.get() || now < self.holds_until.get() || self.is_down() || took_one_lately()
+    }
+
+    /// Discovery counts as down: a fleet whose discovery is gone for good goes on with what it has.
+    fn is_down(&self) -> bool {
+        self.unreachable.get() || self.unanswered.get() >= DOWN_FROM
+    }
+
+    /// The same for the decision module; none where lists are pushed.
+    pub fn trust(&self, now: Instant) -> Option<Trust> {
+        if self.pushed.get() {
+            return None;
+        }
+        Some(Trust {
+            list_for: self.holds_for(now),
+            accepted_for: ACCEPTED,
+            without_evidence: self.is_down(),
+        })
+    }
+}
--- a/crates/sidecar/tests/common/story.rs
+++ b/crates/sidecar/tests/common/story.rs
@@ -256,6 +256,24 @@
     Peer(listener.accept().await.expect("a connection").0)
 }
 
+/// Answers each call to discovery at once: nothing has changed.
+pub fn confirm_all(sidecar: &Sidecar) -> JoinHandle<()> {
+    let address = sidecar.discovery.local_addr().expect("bound");
+    let discovery = socket2::SockRef::from(&sidecar.discovery).try_clone().expect("a socket");
+    let discovery = TcpListener::from_std(discovery.into()).expect("a listener");
+    assert_eq!(discovery.local_addr().expect("bound"), address);
+    spawn_local(async move {
+        loop {
+            let mut peer = next(&discovery).await;
+            while !peer.hear().await.is_empty() {
+                Tokio.sleep(Duration::from_millis(100)).await;
+                let list = r#"{"index":1,"snapshot":false,"endpoints":[]}"#;
+                peer.say(&format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len())).await;
+            }
+        }
+    })
+}
+
 /// A row of it: the one backend server.
 pub fn row(sidecar: &Sidecar, status: &str) -> String {
     format!(r#"{{"name":"s","address":"{}","zone":"a","status":"{status}"}}"#, sidecar.server())
--- a/crates/sidecar/tests/crossings.rs
+++ b/crates/sidecar/tests/crossings.rs
@@ -7,7 +7,7 @@
 use cometcroft_sidecar::backend::Pool;
 use cometcroft_sidecar::counters::Counters;
 use common::story::{
-    BOOK, Gated, PLAN, Peer, next, pushed, reaches, rest, row, slow_dials, story, story_with,
+    BOOK, Gated, PLAN, Peer, confirm_all, next, pushed, reaches, rest, row, slow_dials, story, story_with,
 };
 use std::time::Duration;
 
@@ -391,6 +391,7 @@
 #[test]
 fn a_request_that_crosses_the_close_of_a_resting_connection_is_served_or_its_close_is_clean() {
     story(|sidecar| async move {
+        let _discovery = confirm_all(&sidecar);
         let mut clients = Vec::new();
         // More than may linger while others need their places.
         for _ in 0..20 {
--- a/crates/sidecar/tests/crowded_discovery.rs
+++ b/crates/sidecar/tests/crowded_discovery.rs
@@ -196,8 +196,8 @@
     sent.iter().filter(|(_, status)| *status == Some(200)).count() as f64 / sent.len().max(1) as f64
 }
 
-/// Some sidecars have run for a while when endpoints drain and discovery gets crowded, others start right then with the list
-/// that they last had. None of them begins a request where the drain counts as told, and all go on serving.
+/// Some sidecars have run for a while when endpoints drain and discovery gets crowded, others start right then, or 1.5 s
+/// later, with the list that they last had. None of them begins a request where the drain counts as told, and all go on serving.
 #[test]
 fn no_request_begins_at_a_drained_endpoint_while_discovery_is_crowded() {
     let world = Arc::<World>::default();
@@ -213,9 +213,12 @@
     sleep(1500 * MS);
     let drained = world.drain();
     sleep(200 * MS);
-    let started: Vec<Sidecar> = ["started0", "started1", "started2"].map(start).into();
-    started.iter().for_each(Sidecar::wait_until_it_serves);
-    loads.extend(started.into_iter().map(load));
+    for (names, pause) in [(["started0", "started1"], 1300 * MS), (["late0", "late1"], Duration::ZERO)] {
+        let started: Vec<Sidecar> = names.map(start).into();
+        started.iter().for_each(Sidecar::wait_until_it_serves);
+        loads.extend(started.into_iter().map(load));
+        sleep(pause);
+    }
     let loads: Vec<_> = loads.into_iter().map(|load| load.join().expect("no panic")).collect();
     assert_eq!(late(&world, drained), BTreeMap::new(), "late requests by sidecar");
     for (answers, sidecar) in &loads {
--- /dev/null
+++ b/crates/sidecar/tests/freshness.rs
@@ -0,0 +1,130 @@
+//! How long a list is used that discovery does not confirm.
+#![allow(clippy::disallowed_methods)]
+
+use cometcroft_sidecar::freshness::Freshness;
+use proptest::prelude::*;
+use std::time::{Duration, Instant};
+
+mod common;
+
+const MS: Duration = Duration::from_millis(1);
+/// A change counts as told so long after discovery had it and could be reached.
+const TOLD: Duration = Duration::from_secs(6);
+
+fn started() -> (Freshness, Instant) {
+    let now = Instant::now();
+    (Freshness::new(now), now)
+}
+
+#[test]
+fn the_list_that_a_process_is_started_with_holds_for_a_moment() {
+    let (freshness, began) = started();
+    assert!(freshness.allows(None, began + 2000 * MS));
+    assert!(!freshness.allows(None, began + 3000 * MS));
+}
+
+#[test]
+fn a_list_lapses_before_a_change_after_it_counts_as_told() {
+    let (freshness, began) = started();
+    let answered = began + 10_000 * MS;
+    freshness.confirmed(answered - 3000 * MS, answered);
+    assert!(freshness.allows(None, answered + 5000 * MS));
+    // Made up to 0.4 s before it came, and a process may be held up for 0.15 s.
+    assert!(!freshness.allows(None, answered + TOLD - 550 * MS));
+}
+
+#[test]
+fn an_answer_is_as_old_as_its_call_at_the_most() {
+    let (freshness, began) = started();
+    let called = began + 10_000 * MS;
+    freshness.confirmed(called, called + 20 * MS);
+    assert!(freshness.allows(None, called + TOLD - 160 * MS));
+    assert!(!freshness.allows(None, called + TOLD - 150 * MS));
+}
+
+#[test]
+fn an_endpoint_that_took_a_request_lately_takes_another() {
+    let (freshness, began) = started();
+    let now = began + 20_000 * MS;
+    assert!(freshness.allows(Some(now - 3000 * MS), now));
+    // It may have begun to drain since and may go on taking requests for a while.
+    assert!(!freshness.allows(Some(now - 3500 * MS), now));
+}
+
+#[test]
+fn where_nobody_listens_nothing_counts_as_told() {
+    let (freshness, began) = started();
+    let mut now = began;
+    for _ in 0..10 {
+        now += 5500 * MS;
+        freshness.confirmed(now, now);
+        now += 5500 * MS;
+        freshness.nobody_listens(now);
+        assert!(freshness.allows(None, now + 5500 * MS));
+    }
+    // It is back, and may be crowded.
+    freshness.not_answered(now + 5500 * MS);
+    assert!(!freshness.allows(None, now + TOLD));
+}
+
+#[test]
+fn a_discovery_that_answers_none_of_three_calls_counts_as_down() {
+    let (freshness, began) = started();
+    let mut now = began + 3000 * MS;
+    for _ in 0..3 {
+        assert!(!freshness.allows(None, now));
+        freshness.not_answered(now);
+        now += 2000 * MS;
+    }
+    assert!(freshness.allows(None, now));
+    freshness.confirmed(now, now);
+    assert!(!freshness.allows(None, now + TOLD));
+}
+
+#[test]
+fn what_an_agent_does_not_tell_does_not_count_as_told() {
+    let (freshness, began) = started();
+    freshness.configure(true);
+    assert!(freshness.allows(None, began + 60_000 * MS) && freshness.trust(began).is_none());
+}
+
+/// What a sidecar hears of discovery.
+#[derive(Debug, Clone, Copy)]
+enum Heard {
+    Answer,
+    NobodyListens,
+}
+
+proptest! {
+    #![proptest_config(common::fixed(2000))]
+    /// Whatever is heard and when: nothing begins by the list alone when a change after the last answer may count as told,
+    /// be discovery reachable or not at times when it was not called.
+    #[test]
+    fn nothing_begins_when_a_change_may_count_as_told(
+        heard in proptest::collection::vec(
+            (0u32..9000, prop_oneof![Just(Heard::Answer), Just(Heard::NobodyListens)]), 1..20),
+        asked in 0u32..9000,
+    ) {
+        let (freshness, began) = started();
+        let (mut now, mut told) = (began, began + TOLD);
+        for (pause, heard) in heard {
+            now += pause * MS;
+            match heard {
+                Heard::Answer => {
+                    freshness.confirmed(now, now);
+                    told = now + TOLD;
+                }
+                // Only what does not count as told yet counts anew.
+                Heard::NobodyListens if now < told => {
+                    freshness.nobody_listens(now);
+                    told = now + TOLD;
+                }
+                Heard::NobodyListens => {}
+            }
+        }
+        // Reached again, but crowded.
+        freshness.not_answered(now);
+        let at = now + asked * MS;
+        prop_assert!(at < told || !freshness.allows(None, at));
+    }
+}
--- a/crates/sidecar/tests/long_lists.rs
+++ b/crates/sidecar/tests/long_lists.rs
@@ -92,7 +92,8 @@
 }
 
 /// A list that takes longer than any call may take to be answered is read to its end, as long as it keeps coming, and no
-/// other call is made meanwhile.
+/// other call is made meanwhile. It says nothing of what has changed in the 6 s for which it was on its way, so nothing begins
+/// until the next call, which does not wait, has confirmed it.
 #[test]
 fn a_list_that_keeps_coming_is_never_given_up() {
     story(|sidecar| async move {
@@ -100,8 +101,11 @@
         discovery.hear().await;
         let list = long_list(&sidecar, 2, "up");
         let mut discovery = drip(discovery, list, 125, 50 * MS).await;
-        assert!(discovery.hear().await.contains("?from=2&"), "the list was taken");
+        assert!(discovery.hear().await.contains("?from=2&hold_ms=0 "), "the list was taken");
         assert_eq!(sidecar.counters.discovery_calls.get(), 2);
+        assert!(!reaches(&sidecar).await);
+        discovery.say(&whole(&changes(2, ""))).await;
+        assert!(discovery.hear().await.contains("?from=2&"));
         assert!(reaches(&sidecar).await);
     });
 }
--- a/crates/sidecar/tests/loopback.rs
+++ b/crates/sidecar/tests/loopback.rs
@@ -5,7 +5,7 @@
 
 use cometcroft_platform::{Platform, Tokio};
 use cometcroft_sidecar::config::Config;
-use common::story::{BOOK, PLAN, Peer, Sidecar, next, rest, story};
+use common::story::{BOOK, PLAN, Peer, Sidecar, confirm_all, next, rest, story};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -751,6 +751,7 @@
 #[test]
 fn a_slow_client_has_its_time_for_a_head_and_then_for_a_body_that_goes_on_coming() {
     story(|sidecar| async move {
+        let _discovery = confirm_all(&sidecar);
         let pause = |ms| Tokio.sleep(std::time::Duration::from_millis(ms));
         let mut client = Peer::to(&sidecar).await;
         client.say("POST /book HTTP/1.1\r\nX-Call-Id: 2\r\n").await;
