Lists: what discovery has written binds through a move, an end and a long read

Cause: a call that is moved away from ended at the first empty receive buffer (call.rs, read_awaited), though the rest of a long answer lay in discovery's own buffer; what a whole list leaves out was barred by the owner of the call, which may have dropped it (arrivals.rs, mod.rs); the wait for unread notices gave up after 20 looks and sent (exchange.rs). Ruled out: a wait that is bounded by a longer constant, as the time grows with the list. Change: an abandoned answer that has begun is read to its end, one that has not for 100 ms; what a whole list leaves out is barred by its call at once; a request waits for unread notices until its own time ends, then it is not sent (dispatch_unread).

--- a/crates/sidecar/src/counters.rs
+++ b/crates/sidecar/src/counters.rs
@@ -84,6 +84,8 @@
     dispatch_barred,
     /// Dispatches stopped before their first byte as the list is not confirmed and their backend server took none lately.
     dispatch_unconfirmed,
+    /// Dispatches stopped before their first byte as their time ended while a notice of discovery lay unread.
+    dispatch_unread,
     /// The longest time from the arrival of a notice that bars a backend server until it was barred, in microseconds.
     bar_delay_longest_us,
     /// Repeats that were not sent as their window ended first.
--- a/crates/sidecar/src/discovery/abandonment.rs
+++ b/crates/sidecar/src/discovery/abandonment.rs
@@ -1,5 +1,5 @@
-//! Calls whose answers are not waited for any more. What has come to this process of an answer counts as told, so it is
-//! still read, and what it bars is in force; then the call ends.
+//! Calls whose answers are not waited for any more. What discovery has written counts as told, and nobody here can see how
+//! much that is, so the answer is read to its end, and what it bars is in force.
 
 use std::cell::Cell;
 use tokio::sync::Notify;
@@ -34,7 +34,7 @@
     /// From now on the call stands so.
     pub(super) fn set(&self, standing: Standing) {
         self.standing.set(standing);
-        self.changed.notify_one();
+        self.changed.notify_waiters();
     }
 
     /// Whether nobody waits for the answer.
@@ -42,6 +42,18 @@
         self.standing.get() != Standing::Awaited
     }
 
+    /// What the answer brings says nothing any more.
+    pub(super) fn is_superseded(&self) -> bool {
+        self.standing.get() == Standing::Superseded
+    }
+
+    /// Waits until what the answer brings says nothing any more.
+    pub(super) async fn superseded(&self) {
+        while !self.is_superseded() {
+            self.changed.notified().await;
+        }
+    }
+
     /// Waits until nobody waits for the answer.
     pub(super) async fn abandoned(&self) {
         while !self.is_abandoned() {
--- a/crates/sidecar/src/discovery/arrivals.rs
+++ b/crates/sidecar/src/discovery/arrivals.rs
@@ -78,11 +78,12 @@
 
     /// The call has ended so.
     pub(super) fn finish(mut self, ended: Ended<P>) {
+        // Danger: discovery may move before the owner of the call hears that it has ended, and drop the call.
         if let Outcome::Answered(list) = &ended.outcome {
             let left_out = match self.abandonment.standing() {
-                Standing::Replaced => self.directory.bar_left_out(list, Some(list.index)),
+                Standing::Awaited | Standing::Replaced => self.directory.bar_left_out(list, Some(list.index)),
                 Standing::Moved => self.directory.bar_left_out(list, None),
-                Standing::Awaited | Standing::Superseded => Vec::new(),
+                Standing::Superseded => Vec::new(),
             };
             self.unreported.extend(left_out);
         }
--- a/crates/sidecar/src/discovery/call.rs
+++ b/crates/sidecar/src/discovery/call.rs
@@ -26,6 +26,8 @@
 const STALLED: Duration = Duration::from_millis(80);
 /// A list that pauses for longer than this is given up.
 const GIVE_UP: Duration = Duration::from_secs(1);
+/// What was written before a call was abandoned comes within this time.
+const ON_ITS_WAY: Duration = Duration::from_millis(100);
 /// A connection is made within this time, or discovery counts as unreachable.
 const CONNECT: Duration = Duration::from_secs(1);
 /// Other tasks run after so many bytes of a list at the latest: parsing them takes some tenths of a millisecond.
@@ -171,23 +173,18 @@
     .await
 }
 
-/// The same; nothing once the answer is abandoned and all that has come of it is read.
-async fn read_awaited<S: Stream>(
+/// The same; nothing once what the answer brings says nothing any more. Danger: that a receive buffer is empty does not show
+/// that all is read which discovery has written; the rest of a long list lies in its own buffer until this one has room.
+async fn read_told<S: Stream>(
     stream: &RefCell<S>,
     buffer: &mut BytesMut,
     abandonment: &Abandonment,
 ) -> Option<io::Result<usize>> {
-    if !abandonment.is_abandoned() {
-        tokio::select! {
-            biased;
-            read = read_some(stream, buffer) => return Some(read),
-            () = abandonment.abandoned() => {}
-        }
-    }
-    if stream.borrow().quiet() {
-        return None;
+    tokio::select! {
+        biased;
+        read = read_some(stream, buffer) => Some(read),
+        () = abandonment.superseded() => None,
     }
-    Some(read_some(stream, buffer).await)
 }
 
 /// Why an answer ended.
@@ -251,7 +248,7 @@
     /// More bytes; 0 at the end of the connection.
     async fn read(&mut self, until: Instant) -> Result<usize, End> {
         if !self.exchange.begun() {
-            let read = self.read_by(until).await.map_err(|_| End::Silent)?;
+            let read = self.read_first(until).await.map_err(|_| End::Silent)?;
             return read.map_err(|_| End::Unreachable);
         }
         if let Ok(read) = self.read_by(self.platform.now() + STALLED).await {
@@ -264,9 +261,21 @@
         read.map_err(|_| End::Broken)
     }
 
-    /// More bytes, unless none have come by `until`, or none are left unread of an answer that is not waited for any more.
+    /// The first bytes; of an answer that is not waited for any more, only if they were on their way.
+    async fn read_first(&mut self, until: Instant) -> Result<io::Result<usize>, Elapsed> {
+        let abandonment = self.abandonment;
+        tokio::select! {
+            biased;
+            read = self.read_by(until) => return read,
+            () = abandonment.abandoned() => {}
+        }
+        let until = until.min(self.platform.now() + ON_ITS_WAY);
+        self.read_by(until).await
+    }
+
+    /// More bytes, unless none have come by `until`, or they would say nothing any more.
     async fn read_by(&mut self, until: Instant) -> Result<io::Result<usize>, Elapsed> {
-        let read = read_awaited(&self.stream, self.exchange.buffer(), self.abandonment);
+        let read = read_told(&self.stream, self.exchange.buffer(), self.abandonment);
         self.platform.timeout_at(until, read).await?.ok_or(Elapsed)
     }
 
--- a/crates/sidecar/src/exchange.rs
+++ b/crates/sidecar/src/exchange.rs
@@ -110,7 +110,7 @@
         let first_byte = Cell::new(None);
         let whole = async {
             // What the request says of the time that is left is worked out behind this wait.
-            self.notices_read().await;
+            self.notices_read(bounded).await?;
             let message = message();
             let (written, began) = self.write_first(to, &mut lease, &message).await?;
             first_byte.set(Some(began));
@@ -151,14 +151,16 @@
     }
 
     /// Waits until what has come of discovery is read: this process may have been held up, and find a notice and the
-    /// connection for a request at once.
-    async fn notices_read(&self) {
-        for _ in 0..NOTICE_LOOKS {
-            if !self.directory.notices().any_unread() {
-                return;
+    /// connection for a request at once. Danger: how long that takes grows with the list.
+    async fn notices_read(&self, until: Instant) -> io::Result<()> {
+        while self.directory.notices().any_unread() {
+            if self.pool.platform().now() >= until {
+                count(&self.counters.dispatch_unread);
+                return Err(io::ErrorKind::ConnectionAborted.into());
             }
             self.pool.platform().sleep(BETWEEN_NOTICE_LOOKS).await;
         }
+        Ok(())
     }
 
     /// Writes the first bytes of a request, unless the backend server is barred by now or may be: the notice may have come since the
@@ -294,9 +296,7 @@
     io::Error::new(io::ErrorKind::InvalidData, format!("{fault:?}"))
 }
 
-/// How often it is looked whether notices of discovery are read before a request begins all the same.
-const NOTICE_LOOKS: u32 = 20;
-/// The time between two such looks.
+/// The time between two looks whether notices of discovery are read.
 const BETWEEN_NOTICE_LOOKS: Duration = Duration::from_millis(1);
 
 /// An answer that has begun goes on within this time; whoever answers has all of it.
--- a/crates/sidecar/tests/crossings.rs
+++ b/crates/sidecar/tests/crossings.rs
@@ -15,7 +15,6 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::AsyncReadExt;
 use tokio::net::TcpListener;
 use tokio::task::LocalSet;
 
@@ -723,7 +722,8 @@
         let notices = Tokio.connect(discovery.local_addr().expect("bound")).await.expect("it listens");
         let notices = Rc::new(RefCell::new(notices));
         directory.notices().expect_on(&notices);
-        next(&discovery).await.say("x").await;
+        let mut peer = next(&discovery).await;
+        peer.say("x").await;
         let counters = Rc::new(Counters::default());
         let second = Duration::from_secs(1);
         let pool = Pool::new(Tokio, 2, [5 * second, second], counters.clone(), None);
@@ -736,7 +736,8 @@
         let mut server = next(&server).await;
         Tokio.sleep(300 * MS).await;
         assert!(!attempt.is_finished());
-        notices.borrow_mut().read_u8().await.expect("a byte");
+        // It is read, and bars.
+        drop(notices);
         directory.bar(&list("draining").records, Some(2));
         let ended = Tokio.timeout(second, attempt).await.expect("it is not sent, so it ends at once");
         assert!(ended.expect("no panic").is_err(), "it is barred");
