Lifecycle: with short deadlines connections end before the earliest SIGKILL

Change: connections end 0.4 s before SIGKILL at the latest, in both cases; a test over deadlines from 0.1 to 9 s.

--- a/crates/sidecar/src/lifecycle.rs
+++ b/crates/sidecar/src/lifecycle.rs
@@ -16,8 +16,10 @@
 const LAST: Duration = Duration::from_millis(900);
 /// What was sent so long ago may be read only now.
 const LATE: Duration = Duration::from_millis(100);
-/// New requests are taken for so long at the least.
+/// New requests are taken for so long at the least, ...
 const LINGER: Duration = Duration::from_millis(1000);
+/// ... but not in the last part of the time before SIGKILL: the last ones are answered and their connections end in it.
+const ENDING: Duration = Duration::from_millis(400);
 /// After a drain's start, new connections come for so long; then answers end their connections.
 const ARRIVING: Duration = Duration::from_millis(300);
 /// Idle connections close between these times after a drain's start, ...
@@ -120,7 +122,10 @@
     pub fn idle_until(&self, place: f64) -> Option<Instant> {
         let within = |at: Instant, [from, to]: [Duration; 2]| at + from + (to - from).mul_f64(place);
         let drained = self.drain.map(|at| within(at, DRAINED));
-        let left = self.term.map(|at| if self.shared { within(at, HANDED_OVER) } else { at + self.linger() });
+        let left = self.term.map(|at| {
+            let handed_over = within(at, HANDED_OVER).min(at + self.before_ending());
+            if self.shared { handed_over } else { at + self.linger() }
+        });
         drained.into_iter().chain(left).min()
     }
 
@@ -135,7 +140,13 @@
     /// So long after SIGTERM requests are taken where there is no successor: clients keep the connections that they
     /// have, and in their zone there may be nobody else for now.
     fn linger(&self) -> Duration {
-        self.kill.saturating_sub(SPARE + LAST).max(LINGER)
+        // Danger: with short deadlines SIGKILL comes soon, and would find requests on connections that are still open.
+        self.kill.saturating_sub(SPARE + LAST).max(LINGER).min(self.before_ending())
+    }
+
+    /// The time from SIGTERM within which connections may stay open.
+    fn before_ending(&self) -> Duration {
+        self.kill.saturating_sub(ENDING)
     }
 }
 
--- a/crates/sidecar/tests/parts.rs
+++ b/crates/sidecar/tests/parts.rs
@@ -596,3 +596,25 @@
     let refused = level(Some("loud")).map_err(|error| error.to_string());
     assert_eq!(refused.unwrap_err(), "LB_LOG: \"loud\" is no level; off, error, warn, info, debug or trace");
 }
+
+/// However short the deadlines and whether or not a successor is there: requests are taken while new connections still come,
+/// and connections end well before SIGKILL.
+#[test]
+fn connections_end_before_the_kill_however_short_deadlines_are() {
+    for deadline in [100, 200, 290, 500, 700, 1500, 3000, 9000] {
+        for shared in [false, true] {
+            let now = Tokio.now();
+            let longest = Duration::from_millis(deadline);
+            let mut machine = Machine::new(now, longest, shared);
+            machine.leave(now);
+            let kill = now + longest.min(Duration::from_secs(3)) + Duration::from_millis(700);
+            for place in [0.0, 0.5, 1.0] {
+                let idle_until = machine.idle_until(place).expect("it leaves");
+                assert!(idle_until + Duration::from_millis(400) <= kill, "{deadline} ms, shared: {shared}");
+            }
+            let accepts_until = machine.accepts_until().expect("it leaves");
+            assert!(shared || accepts_until >= now + Duration::from_millis(400), "{deadline} ms");
+            assert!(accepts_until + Duration::from_millis(400) <= kill, "{deadline} ms, shared: {shared}");
+        }
+    }
+}
