Schedule: a process asks at once whether the list it was given holds

Cause: its first call waited up to 4 s for news, and the list that it is started with is relied on for 2.5 s, so on every start requests went by endpoints' evidence alone for over a second (schedule.rs; seen as a shrunk script that broke without faults). Ruled out: a longer reliance on that list; it may be of any age. Change: the first call does not wait.

--- a/crates/emulator/src/sabotage.rs
+++ b/crates/emulator/src/sabotage.rs
@@ -35,7 +35,7 @@
     AnswersTwice,
     /// On SIGTERM it ends at once.
     LosesOnRestart,
-    /// It reads what discovery sends later than it came, so that it goes on sending to what drains.
+    /// It neither sees nor reads what discovery sends until some time after it came, so that it goes on sending to what drains.
     HearsLate,
 }
 
--- a/crates/sidecar/src/discovery/schedule.rs
+++ b/crates/sidecar/src/discovery/schedule.rs
@@ -188,7 +188,8 @@
             quick_left: 0,
             quick_made: 0,
             older: 0,
-            at_once: false,
+            // The list given at the start may be of any age.
+            at_once: true,
             brought_forward: false,
         }
     }
