Tests: a lapsed list after a change to pushed lists, failing, known red

Cause: found by reading the change again. Where lists are pushed the decision module is told nothing of trust, so after a change of the settings it keeps the last one told, which lapses, and refuses. Ruled out: the check before a first byte; it lets everything pass there. Change: the test, known red; the repair follows. Measured: it fails at its last assertion.

--- a/crates/sidecar/tests/crossings.rs
+++ b/crates/sidecar/tests/crossings.rs
@@ -744,3 +744,23 @@
         assert_eq!(server.hear().await, "", "not a byte");
     });
 }
+
+/// A list has lapsed when new settings say that lists are pushed from now on: it holds again, as an agent that tells nothing
+/// has nothing to tell.
+#[test]
+fn a_list_that_has_lapsed_holds_again_where_lists_are_pushed_from_now_on() {
+    story(|sidecar| async move {
+        let mut silent = next(&sidecar.discovery).await;
+        silent.hear().await;
+        Tokio.sleep(2700 * MS).await;
+        assert!(!reaches(&sidecar).await, "nobody has confirmed it");
+        let mut settings = sidecar.settings.clone();
+        settings.discovery = cometcroft::Discovery::Push;
+        sidecar.control.source.move_to(sidecar.discovery.local_addr().expect("bound"), &settings);
+        let mut agent = next(&sidecar.discovery).await;
+        agent.hear().await;
+        agent.say(&told(2, true, &row(&sidecar, "up"))).await;
+        assert!(agent.hear().await.contains("?from=2&"));
+        assert!(reaches(&sidecar).await);
+    });
+}
