Trust: where lists are pushed from now on the decision module relies on them again

Cause: discovery/mod.rs told the module of trust only where lists are asked for, so after a change to pushed lists the last trust stayed and lapsed, and requests were refused. Ruled out: a retune of the module; it has no word on trust. Change: Event::Trust carries none where lists are pushed, and it is told at a move; Freshness is configured there and at the start alone, not at each turn of the loop. Measured: the test that failed passes; 132 tests of six files pass.

--- a/crates/module/src/interface.rs
+++ b/crates/module/src/interface.rs
@@ -424,8 +424,8 @@
         /// The entries.
         entries: Vec<Member>,
     },
-    /// How far the list can be relied on from now on. Hosts that never tell rely on it without end.
-    Trust(Trust),
+    /// How far the list can be relied on from now on; none, and before any is told: without end.
+    Trust(Option<Trust>),
     /// A discovery call failed or the subscription broke.
     DiscoveryRefused,
     /// A request has come; it is owed one final answer.
--- a/crates/module/src/policy/trust.rs
+++ b/crates/module/src/policy/trust.rs
@@ -16,8 +16,8 @@
 
 impl ListTrust {
     /// It is told now.
-    pub(super) fn told(&mut self, now: Time, trust: Trust) {
-        self.told = Some((now, trust));
+    pub(super) fn told(&mut self, now: Time, trust: Option<Trust>) {
+        self.told = trust.map(|trust| (now, trust));
     }
 
     /// Whether an upstream may be sent to that is listed as ready and took a request sent at `accepted`.
--- a/crates/module/tests/scenarios.rs
+++ b/crates/module/tests/scenarios.rs
@@ -1073,7 +1073,7 @@
 
 /// The list can be relied on for a second, and what an upstream took for two.
 fn trust(without_evidence: bool) -> Event {
-    Event::Trust(Trust { list_for: ms(1000), accepted_for: ms(2000), without_evidence })
+    Event::Trust(Some(Trust { list_for: ms(1000), accepted_for: ms(2000), without_evidence }))
 }
 
 #[test]
--- a/crates/sidecar/src/discovery/mod.rs
+++ b/crates/sidecar/src/discovery/mod.rs
@@ -189,7 +189,6 @@
     fn make_due_calls(&mut self) {
         let Manner { pushed, ask_within } = self.source.manner.get();
         self.schedule.configure(pushed, ask_within);
-        self.directory.freshness().configure(pushed);
         while let Some(call) = self.schedule.poll(self.now(), self.index.is_none()) {
             if let Some(replaced) = call.replaces {
                 count(&self.counters.discovery_silent);
@@ -250,6 +249,9 @@
         self.directory.forget_versions();
         let now = self.now();
         self.schedule.moved(now);
+        // Lists may be pushed from now on, or no more.
+        self.directory.freshness().configure(self.source.manner.get().pushed);
+        self.tell_trust();
     }
 
     fn ended(&mut self, id: CallId, ended: Ended<C::Platform>, barred: bool) {
@@ -341,9 +343,8 @@
 
     /// Tells the decision module how long the list may be used.
     fn tell_trust(&self) {
-        if let Some(trust) = self.directory.freshness().trust(self.platform.now()) {
-            self.host.tell(Event::Trust(trust));
-        }
+        let trust = self.directory.freshness().trust(self.platform.now());
+        self.host.tell(Event::Trust(trust));
     }
 
     /// Logs that discovery answers again, or has ceased to.
