--- a/crates/module/src/policy/trust.rs
+++ b/crates/module/src/policy/trust.rs
@@ -10,8 +10,6 @@
 pub(super) struct ListTrust {
     /// When it was told, and what. With none the list is relied on without end.
     told: Option<(Time, Trust)>,
-    /// Rows without evidence are sent to as well, while one is looked for among them.
-    suspended: bool,
 }
 
 impl ListTrust {
@@ -22,7 +20,7 @@
 
     /// Whether an upstream may be sent to that is listed as ready and took a request sent at `accepted`.
     pub(super) fn covers(&self, now: Time, accepted: Option<Time>) -> bool {
-        let Some((at, trust)) = self.told.filter(|_| !self.suspended) else { return true };
+        let Some((at, trust)) = self.told else { return true };
         now < at + trust.list_for || accepted.is_some_and(|accepted| now < accepted + trust.accepted_for)
     }
 
@@ -48,11 +46,9 @@
         if !self.trust.does_without_evidence() {
             return None;
         }
-        self.trust.suspended = true;
         let rows = self.rows.clone();
-        let open: Vec<usize> =
-            rows.into_iter().filter(|&at| self.may_take(now, at, request, false)).collect();
-        self.trust.suspended = false;
+        let may_take = |&at: &usize| self.suits(now, at, request, false) && self.cold_allows(now, at);
+        let open: Vec<usize> = rows.into_iter().filter(may_take).collect();
         open.into_iter().max_by_key(|&place| self.table.upstreams[place].accepted)
     }
 }
--- a/crates/module/src/policy/walk.rs
+++ b/crates/module/src/policy/walk.rs
@@ -55,16 +55,22 @@
         sound.into_iter().max_by(|a, b| credit(a).total_cmp(&credit(b)))
     }
 
-    pub(super) fn may_take(&mut self, now: Time, place: usize, request: &Request, strict: bool) -> bool {
+    fn may_take(&mut self, now: Time, place: usize, request: &Request, strict: bool) -> bool {
         self.is_eligible(now, place, request, strict) && self.cold_allows(now, place)
     }
 
     /// Whether it may take this request, but for what a cold upstream may be sent.
     fn is_eligible(&self, now: Time, place: usize, request: &Request, strict: bool) -> bool {
+        self.trust.covers(now, self.table.upstreams[place].accepted)
+            && self.suits(now, place, request, strict)
+    }
+
+    /// The same, whether or not the list can be relied on.
+    pub(super) fn suits(&self, now: Time, place: usize, request: &Request, strict: bool) -> bool {
         let class = &self.settings.classes[request.class];
         let alone = self.settings.rules.drain_binds_alone;
         let (up, id) = (&self.table.upstreams[place], self.table.ids[place]);
-        if !up.may_be_sent_to(alone) || !self.trust.covers(now, up.accepted) {
+        if !up.may_be_sent_to(alone) {
             return false;
         }
         // Rule 2: a keyed request that may have run goes only to those who drop its repeat, while they do.
--- a/crates/sidecar/src/discovery/abandonment.rs
+++ b/crates/sidecar/src/discovery/abandonment.rs
@@ -37,26 +37,18 @@
         self.changed.notify_waiters();
     }
 
-    /// Whether nobody waits for the answer.
-    pub(super) fn is_abandoned(&self) -> bool {
-        self.standing.get() != Standing::Awaited
-    }
-
-    /// What the answer brings says nothing any more.
-    pub(super) fn is_superseded(&self) -> bool {
-        self.standing.get() == Standing::Superseded
-    }
-
     /// Waits until what the answer brings says nothing any more.
     pub(super) async fn superseded(&self) {
-        while !self.is_superseded() {
-            self.changed.notified().await;
-        }
+        self.until(|standing| standing == Standing::Superseded).await;
     }
 
     /// Waits until nobody waits for the answer.
     pub(super) async fn abandoned(&self) {
-        while !self.is_abandoned() {
+        self.until(|standing| standing != Standing::Awaited).await;
+    }
+
+    async fn until(&self, reached: impl Fn(Standing) -> bool) {
+        while !reached(self.standing()) {
             self.changed.notified().await;
         }
     }
--- a/crates/sidecar/src/discovery/mod.rs
+++ b/crates/sidecar/src/discovery/mod.rs
@@ -10,7 +10,7 @@
 pub mod staleness;
 
 use crate::counters::{Counters, count};
-use crate::directory::{Directory, Taken};
+use crate::directory::{Directory, News, Taken};
 use crate::endpoint_list::{EndpointList, ListError};
 use crate::fleet::Fleet;
 use crate::lifecycle::Life;
@@ -259,8 +259,13 @@
         let Some(at) = self.running.iter().position(|running| running.id == id) else { return };
         let began = self.running.remove(at).began;
         let Ended { outcome, stream, first_byte } = ended;
-        let age = first_byte.map(|at| self.platform.since(at));
-        tracing::debug!(call = %id, %outcome, first_byte_ago = ?age, barred, "call to discovery ended");
+        tracing::debug!(
+            call = %id,
+            %outcome,
+            first_byte_ago = ?first_byte.map(|at| self.platform.since(at)),
+            barred,
+            "call to discovery ended"
+        );
         let nobody_listens = matches!(outcome, Outcome::NobodyListens);
         let failure = match outcome {
             Outcome::Answered(list) => {
@@ -316,7 +321,8 @@
             Taken::News(news) => {
                 self.directory.staleness().confirmed(self.platform.now());
                 (self.index, self.held) = (Some(news.index), Some(news.index));
-                tracing::debug!(call = %id, version = news.index, scope = ?news.scope, rows = news.entries.len(), "list is in force");
+                let News { index, scope, entries } = &news;
+                tracing::debug!(call = %id, version = index, ?scope, rows = entries.len(), "list is in force");
                 self.logged = None;
                 for moved_away in self.moved_away.drain(..) {
                     moved_away.set(Standing::Superseded);
--- a/crates/sidecar/src/door.rs
+++ b/crates/sidecar/src/door.rs
@@ -226,9 +226,8 @@
             registry_entries: self.directory.len(),
             registry_age_ms: self
                 .directory
-                .staleness()
-                .confirmed_at()
-                .map(|at| u64::try_from(self.host.platform().since(at).as_millis()).unwrap_or(u64::MAX)),
+                .confirmed_age(self.host.platform().now())
+                .map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
             bar_delay_longest_us: self.counters.bar_delay_longest_us.get(),
             late_sends_barred: self.counters.dispatch_barred.get(),
             out_of_rotation: self.host.avoided(),
--- a/crates/sidecar/src/exchange.rs
+++ b/crates/sidecar/src/exchange.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use cometcroft::{Outcome, UpstreamId};
 use cometcroft_platform::Platform;
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::fmt;
 use std::future::poll_fn;
 use std::io;
@@ -107,13 +107,11 @@
             return Err(self.outlived());
         }
         let mut lease = lease?;
-        let first_byte = Cell::new(None);
         let whole = async {
             // What the request says of the time that is left is worked out behind this wait.
             self.notices_read(bounded).await?;
             let message = message();
             let (written, began) = self.write_first(to, &mut lease, &message).await?;
-            first_byte.set(Some(began));
             lease.stream.write_all(&message[written..]).await?;
             if let Some(upload) = upload {
                 let coding = if upload.framing().is_some() { Coding::Plain } else { Coding::Chunked };
@@ -124,18 +122,16 @@
                 }
                 lease.stream.write_all(coding.end()).await?;
             }
-            Ok::<(), io::Error>(())
+            Ok::<Instant, io::Error>(began)
         };
-        match latest {
+        let began = match latest {
             None => whole.await?,
             Some(latest) => platform.timeout_at(latest, whole).await.map_err(|_| self.outlived())??,
-        }
+        };
         written();
         let mut exchange = Exchange::delimited(MAX_BULK);
         let answer = read_answer(self.pool.platform(), &mut lease.stream, &mut exchange, STALLED).await?;
-        if let Some(began) = first_byte.get() {
-            self.directory.answered(to, began, answer.rejected(), platform.now());
-        }
+        self.directory.answered(to, began, answer.rejected(), platform.now());
         let bulk = answer.bulk.is_some();
         if !bulk && exchange.reusable() {
             self.pool.put(to, lease);
@@ -163,8 +159,9 @@
         Ok(())
     }
 
-    /// Writes the first bytes of a request, unless the backend server is barred by now or may be: the notice may have come since the
-    /// module decided, and a write may have to wait. Tells how many, and when they began at the earliest. This is the one place where anything begins at a backend server.
+    /// Writes the first bytes of a request, unless the backend server is barred by now or may be: the notice may have come
+    /// since the module decided, and a write may have to wait. Tells how many, and when they began at the earliest. This is
+    /// the one place where anything begins at a backend server.
     async fn write_first(
         &self,
         to: UpstreamId,
@@ -200,9 +197,12 @@
     }
 
     fn log_first_byte(&self, endpoint: SocketAddr, event: &str) {
-        let (version, age) =
-            (self.directory.version(), self.directory.confirmed_age(self.pool.platform().now()));
-        tracing::debug!(%endpoint, version, ?age, "attempt {event}");
+        tracing::debug!(
+            %endpoint,
+            version = self.directory.version(),
+            age = ?self.directory.confirmed_age(self.pool.platform().now()),
+            "attempt {event}"
+        );
     }
 
     /// The window for repeats has ended before this one was written whole.
--- a/crates/sidecar/src/frontend/waiting.rs
+++ b/crates/sidecar/src/frontend/waiting.rs
@@ -6,7 +6,7 @@
 use crate::dispatch::Payload;
 use crate::exchange::Reply;
 use crate::figures::Tally;
-use crate::http::server::{Connection, Request, Status};
+use crate::http::server::{CALL_ID, Connection, Request, Status};
 use crate::http::{Fault, Piece};
 use crate::lifecycle::Machine;
 use crate::purse::Held as Spent;
@@ -270,9 +270,6 @@
     (left.saturating_sub(margin), left.saturating_sub(margin / 2))
 }
 
-/// The header that holds a request's id.
-const CALL_ID: &str = "x-call-id";
-
 /// What came of waiting for a client while its request is open.
 enum Fed {
     Piece,
--- a/crates/sidecar/src/http/server.rs
+++ b/crates/sidecar/src/http/server.rs
@@ -4,6 +4,9 @@
 use bytes::{BufMut, Bytes, BytesMut};
 use std::time::Duration;
 
+/// The header that holds a request's id.
+pub const CALL_ID: &str = "x-call-id";
+
 /// A request, whole.
 #[derive(Debug, Clone)]
 pub struct Request {
@@ -30,7 +33,7 @@
 
     /// Its id as it came, if it has one that can be read.
     pub fn id(&self) -> Option<&str> {
-        let id = self.headers.single("x-call-id").ok()??;
+        let id = self.headers.single(CALL_ID).ok()??;
         std::str::from_utf8(id).ok()
     }
 
--- a/crates/sidecar/src/lifecycle.rs
+++ b/crates/sidecar/src/lifecycle.rs
@@ -122,9 +122,9 @@
     pub fn idle_until(&self, place: f64) -> Option<Instant> {
         let within = |at: Instant, [from, to]: [Duration; 2]| at + from + (to - from).mul_f64(place);
         let drained = self.drain.map(|at| within(at, DRAINED));
-        let left = self.term.map(|at| {
-            let handed_over = within(at, HANDED_OVER).min(at + self.before_ending());
-            if self.shared { handed_over } else { at + self.linger() }
+        let left = self.term.map(|at| match self.shared {
+            true => within(at, HANDED_OVER).min(at + self.before_ending()),
+            false => at + self.linger(),
         });
         drained.into_iter().chain(left).min()
     }
@@ -134,13 +134,13 @@
     pub fn due(&self, now: Instant) -> Option<Instant> {
         let begun = self.term?;
         // A little early, as its clock and ours may be read at different moments.
-        (now.saturating_duration_since(begun) + LATE >= NOTICE).then(|| begun + (self.kill - SPARE))
+        (now.saturating_duration_since(begun) + LATE >= NOTICE).then(|| begun + self.before_spare())
     }
 
     /// When all is answered at the latest, whenever it came: what a hanging backend server owes until after SIGKILL would get
     /// no answer at all.
     pub fn answered_by(&self) -> Option<Instant> {
-        self.term.map(|begun| begun + self.kill.saturating_sub(SPARE))
+        self.term.map(|begun| begun + self.before_spare())
     }
 
     /// So long after SIGTERM requests are taken where there is no successor: clients keep the connections that they
@@ -150,6 +150,11 @@
         self.kill.saturating_sub(SPARE + LAST).max(LINGER).min(self.before_ending())
     }
 
+    /// The time from SIGTERM within which all is answered.
+    fn before_spare(&self) -> Duration {
+        self.kill.saturating_sub(SPARE)
+    }
+
     /// The time from SIGTERM within which connections may stay open.
     fn before_ending(&self) -> Duration {
         self.kill.saturating_sub(ENDING)
--- a/crates/sidecar/tests/common/program.rs
+++ b/crates/sidecar/tests/common/program.rs
@@ -4,7 +4,7 @@
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
-use std::process::{Child, Command};
+use std::process::{Child, Command, Output, Stdio};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
@@ -90,6 +90,56 @@
     format!(r#"{{"index":{index},"snapshot":true,"endpoints":[{}]}}"#, rows.join(","))
 }
 
+/// A process of the program and its file, ended with the test.
+pub struct Process {
+    child: Option<Child>,
+    file: PathBuf,
+}
+
+impl Process {
+    /// One with this configuration and these variables, that may hold so many descriptors.
+    pub fn start(config: &str, variables: &[(&str, String)], descriptors: usize) -> Process {
+        let number = NUMBER.fetch_add(1, Ordering::SeqCst);
+        let file = std::env::temp_dir().join(format!("cometcroft-process-{}-{number}", std::process::id()));
+        std::fs::write(&file, config).expect("a file");
+        let program = env!("CARGO_BIN_EXE_cometcroft");
+        let child = Command::new("sh")
+            .args(["-c", &format!("ulimit -n {descriptors}; exec {program}")])
+            .env("LB_CONFIG", &file)
+            .envs(variables.iter().map(|(name, value)| (*name, value)))
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("it starts");
+        Process { child: Some(child), file }
+    }
+
+    /// Whether it has ended.
+    pub fn has_ended(&mut self) -> bool {
+        self.child.as_mut().is_some_and(|child| child.try_wait().is_ok_and(|status| status.is_some()))
+    }
+
+    pub fn signal(&self, name: &str) {
+        let id = self.child.as_ref().expect("it runs").id();
+        let kill = Command::new("sh").args(["-c", &format!("kill -{name} {id}")]).status();
+        assert!(kill.expect("a shell").success());
+    }
+
+    /// What it said, once it has ended.
+    pub fn end(mut self) -> Output {
+        self.child.take().expect("it runs").wait_with_output().expect("it ends")
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        let _ = std::fs::remove_file(&self.file);
+    }
+}
+
 /// A sidecar with a budget, ended with the test.
 pub struct Sidecar {
     child: Child,
--- a/crates/sidecar/tests/common/story.rs
+++ b/crates/sidecar/tests/common/story.rs
@@ -256,7 +256,7 @@
     Peer(listener.accept().await.expect("a connection").0)
 }
 
-/// Answers each call to discovery at once: nothing has changed.
+/// Answers each call to discovery after a moment: nothing has changed.
 pub fn confirm_all(sidecar: &Sidecar) -> JoinHandle<()> {
     let address = sidecar.discovery.local_addr().expect("bound");
     let discovery = socket2::SockRef::from(&sidecar.discovery).try_clone().expect("a socket");
--- a/crates/sidecar/tests/crowded_discovery.rs
+++ b/crates/sidecar/tests/crowded_discovery.rs
@@ -12,12 +12,10 @@
 #![allow(clippy::disallowed_methods)]
 mod common;
 
-use common::program::{NUMBER, head, list, places};
+use common::program::{NUMBER, Process, head, list, places};
 use std::collections::BTreeMap;
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::sleep;
@@ -115,12 +113,11 @@
     })
 }
 
-/// A process of the program, ended with the test.
+/// A process of the program.
 struct Sidecar {
     name: String,
-    child: Child,
+    _process: Process,
     listen: SocketAddr,
-    file: PathBuf,
 }
 
 impl Sidecar {
@@ -129,14 +126,7 @@
         let number = NUMBER.fetch_add(1, Ordering::SeqCst);
         let config = common::config(&listen.to_string(), &discovery.to_string(), known)
             .replace("8c1f30d27a5be964", &format!("{number:016x}"));
-        let file = std::env::temp_dir().join(format!("cometcroft-crowded-{}-{number}", std::process::id()));
-        std::fs::write(&file, config).expect("a file");
-        let child = Command::new(env!("CARGO_BIN_EXE_cometcroft"))
-            .env("LB_CONFIG", &file)
-            .stderr(Stdio::null())
-            .spawn()
-            .expect("it starts");
-        Sidecar { name: name.to_owned(), child, listen, file }
+        Sidecar { name: name.to_owned(), _process: Process::start(&config, &[], 256), listen }
     }
 
     fn request(&self) -> Option<u16> {
@@ -171,14 +161,6 @@
     }
 }
 
-impl Drop for Sidecar {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        let _ = std::fs::remove_file(&self.file);
-    }
-}
-
 /// How many requests of each sidecar began at an endpoint after its drain counted as told.
 fn late(world: &World, drained: Instant) -> BTreeMap<String, usize> {
     let mut late = BTreeMap::new();
--- a/crates/sidecar/tests/processes.rs
+++ b/crates/sidecar/tests/processes.rs
@@ -2,62 +2,15 @@
 #![allow(clippy::disallowed_methods)]
 mod common;
 
-use common::program::{NUMBER, list, places};
+use common::program::{NUMBER, Process, list, places};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::PathBuf;
-use std::process::{Child, Command, Output, Stdio};
 use std::sync::atomic::Ordering;
 use std::sync::mpsc;
 use std::time::{Duration, Instant};
 
 const MS: Duration = Duration::from_millis(1);
 
-/// A process of the program and its file, ended with the test.
-struct Process {
-    child: Option<Child>,
-    file: PathBuf,
-}
-
-impl Process {
-    /// One with this configuration and these variables, that may hold so many descriptors.
-    fn start(config: &str, variables: &[(&str, String)], descriptors: usize) -> Process {
-        let number = NUMBER.fetch_add(1, Ordering::SeqCst);
-        let file = std::env::temp_dir().join(format!("cometcroft-process-{}-{number}", std::process::id()));
-        std::fs::write(&file, config).expect("a file");
-        let program = env!("CARGO_BIN_EXE_cometcroft");
-        let child = Command::new("sh")
-            .args(["-c", &format!("ulimit -n {descriptors}; exec {program}")])
-            .env("LB_CONFIG", &file)
-            .envs(variables.iter().map(|(name, value)| (*name, value)))
-            .stderr(Stdio::piped())
-            .spawn()
-            .expect("it starts");
-        Process { child: Some(child), file }
-    }
-
-    fn signal(&self, name: &str) {
-        let id = self.child.as_ref().expect("it runs").id();
-        let kill = Command::new("sh").args(["-c", &format!("kill -{name} {id}")]).status();
-        assert!(kill.expect("a shell").success());
-    }
-
-    /// What it said, once it has ended.
-    fn end(mut self) -> Output {
-        self.child.take().expect("it runs").wait_with_output().expect("it ends")
-    }
-}
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        if let Some(mut child) = self.child.take() {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
-        let _ = std::fs::remove_file(&self.file);
-    }
-}
-
 /// A message up to its blank line; empty where its sender has ended.
 fn head(stream: &mut TcpStream) -> String {
     common::program::head(stream).unwrap_or_default()
--- a/crates/sidecar/tests/shutdown_soak.rs
+++ b/crates/sidecar/tests/shutdown_soak.rs
@@ -5,13 +5,11 @@
 #![allow(clippy::disallowed_methods)]
 mod common;
 
-use common::program::{NUMBER, ask, head, list, places, stand_in};
+use common::program::{NUMBER, Process, ask, head, list, places, stand_in};
 use fastrand::Rng;
 use std::collections::HashSet;
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
-use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::sleep;
@@ -71,67 +69,33 @@
     }
 }
 
-/// A process of the program, ended with the test.
-struct Process {
-    child: Child,
-    file: PathBuf,
-    listen: SocketAddr,
-}
-
-impl Process {
-    fn start(plan: &Plan, endpoints: &[SocketAddr], seed: u64) -> Process {
-        let [listen, _, nobody] = places(1)[0];
-        let known = list(endpoints, 1);
-        let whole = known.clone();
-        let answer = move |asked: &str| {
-            let held = asked.contains("hold_ms=");
-            if held {
-                sleep(500 * MS);
-            }
-            let body = if held { r#"{"index":1,"snapshot":false,"endpoints":[]}"# } else { &whole };
-            format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
-        };
-        let discovery = if plan.discovery_down { nobody } else { stand_in(move |asked, _| answer(asked)).0 };
-        let deadline = plan.deadline.as_nanos();
-        let config = common::config(&listen.to_string(), &discovery.to_string(), &known)
-            .replace("\"deadline-ns\":3000000000", &format!("\"deadline-ns\":{deadline}"))
-            .replace("\"slo-ns\":800000000", &format!("\"slo-ns\":{}", deadline / 2))
-            .replace("8c1f30d27a5be964", &format!("{seed:016x}"));
-        let number = NUMBER.fetch_add(1, Ordering::SeqCst);
-        let file = std::env::temp_dir().join(format!("cometcroft-soak-{}-{number}", std::process::id()));
-        std::fs::write(&file, config).expect("a file");
-        let program = env!("CARGO_BIN_EXE_cometcroft");
-        let child = Command::new("sh")
-            .args(["-c", &format!("ulimit -n 256; exec {program}")])
-            .env("LB_CONFIG", &file)
-            .stderr(Stdio::null())
-            .spawn()
-            .expect("it starts");
-        let process = Process { child, file, listen };
-        let began = Instant::now();
-        while !ask(listen, "GET /up HTTP/1.1\r\nConnection: close\r\n\r\n")
-            .is_some_and(|up| up.contains(" 200 "))
-        {
-            assert!(began.elapsed() < 10_000 * MS, "it is not ready");
-            sleep(10 * MS);
+/// Starts a process, and waits until it is ready; tells where it listens.
+fn start(plan: &Plan, endpoints: &[SocketAddr], seed: u64) -> (Process, SocketAddr) {
+    let [listen, _, nobody] = places(1)[0];
+    let known = list(endpoints, 1);
+    let whole = known.clone();
+    let answer = move |asked: &str| {
+        let held = asked.contains("hold_ms=");
+        if held {
+            sleep(500 * MS);
         }
-        process
-    }
-
-    fn signal(&self, name: &str) {
-        // It may have ended by itself and is a child that nobody has waited for, so its id is no other's.
-        let _ = Command::new("sh")
-            .args(["-c", &format!("kill -{name} {} 2>/dev/null", self.child.id())])
-            .status();
-    }
-}
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        let _ = std::fs::remove_file(&self.file);
+        let body = if held { r#"{"index":1,"snapshot":false,"endpoints":[]}"# } else { &whole };
+        format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+    };
+    let discovery = if plan.discovery_down { nobody } else { stand_in(move |asked, _| answer(asked)).0 };
+    let deadline = plan.deadline.as_nanos();
+    let config = common::config(&listen.to_string(), &discovery.to_string(), &known)
+        .replace("\"deadline-ns\":3000000000", &format!("\"deadline-ns\":{deadline}"))
+        .replace("\"slo-ns\":800000000", &format!("\"slo-ns\":{}", deadline / 2))
+        .replace("8c1f30d27a5be964", &format!("{seed:016x}"));
+    let process = Process::start(&config, &[], 256);
+    let began = Instant::now();
+    while !ask(listen, "GET /up HTTP/1.1\r\nConnection: close\r\n\r\n").is_some_and(|up| up.contains(" 200 "))
+    {
+        assert!(began.elapsed() < 10_000 * MS, "it is not ready");
+        sleep(10 * MS);
     }
+    (process, listen)
 }
 
 /// How a request ended that was sent on an open connection.
@@ -226,8 +190,7 @@
         .0
     };
     let endpoints: Vec<SocketAddr> = (0..4).map(endpoint).collect();
-    let mut process = Process::start(plan, &endpoints, seed);
-    let listen = process.listen;
+    let (mut process, listen) = start(plan, &endpoints, seed);
     let stop = Arc::new(AtomicBool::new(false));
     let stopped = stop.clone();
     let stalls = std::thread::spawn(move || {
@@ -256,10 +219,10 @@
     }
     let kill_at = begun.expect("a series has one") + plan.deadline.min(LONGEST) + NOTICE;
     sleep(kill_at.saturating_duration_since(Instant::now()));
-    let exited_by_itself = process.child.try_wait().is_ok_and(|status| status.is_some());
+    let exited_by_itself = process.has_ended();
     let killed = Instant::now();
-    let _ = process.child.kill();
-    let _ = process.child.wait();
+    // SIGKILL, and its end.
+    drop(process);
     stop.store(true, Ordering::SeqCst);
     drop(crowd);
     let sent = clients.into_iter().flat_map(|client| client.join().expect("no panic")).collect();
