Log: what opened an endpoint for a request, or what barred it, with the request's id

Ruled out: a counter alone; it names no request and no list version. Change: Freshness::evidence gives typed evidence or the typed lack of it; write_first logs it with list version and age in a span that has the request's id; one place counts and logs what bars an attempt. Decisions are as before.

--- a/crates/sidecar/src/directory.rs
+++ b/crates/sidecar/src/directory.rs
@@ -6,7 +6,7 @@
 
 use crate::discovery::staleness::Staleness;
 use crate::endpoint_list::{EndpointList, EndpointRecord};
-use crate::freshness::Freshness;
+use crate::freshness::{Evidence, Freshness, Lack};
 use crate::notices::Notices;
 use crate::start_clock::StartClock;
 use cometcroft::*;
@@ -143,10 +143,10 @@
         &self.freshness
     }
 
-    /// Whether what is known of this backend server is fresh enough for a request to begin there.
-    pub fn is_fresh(&self, id: UpstreamId, now: Instant) -> bool {
+    /// What shows that a request may begin at this backend server, if it is listed as ready.
+    pub fn evidence(&self, id: UpstreamId, now: Instant) -> Result<Evidence, Lack> {
         let accepted = self.entries.borrow().get(&id).and_then(|entry| entry.accepted);
-        self.freshness.allows(accepted, now)
+        self.freshness.evidence(accepted, now)
     }
 
     /// A backend server has answered a request that began at `began`, or has turned it away.
--- a/crates/sidecar/src/dispatch.rs
+++ b/crates/sidecar/src/dispatch.rs
@@ -15,6 +15,7 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
+use tracing::Instrument;
 
 /// What a dispatch carries.
 #[derive(Debug)]
@@ -60,14 +61,15 @@
     ) -> Later<Ended<Reply>> {
         let carrier = self.clone();
         Box::pin(async move {
-            let ended = carrier.attempt(to, &payload, carrier.platform().now() + timeout, latest).await;
-            tracing::debug!(
+            let span = tracing::debug_span!(
+                "attempt",
                 request = payload.request.id(),
-                endpoint = carrier.exchanger.directory.address(to).map(tracing::field::display),
-                attempt = payload.begun.get(),
-                outcome = ?ended.outcome,
-                "attempt ended"
+                number = payload.begun.get() + 1
             );
+            let ends = carrier.platform().now() + timeout;
+            let ended = carrier.attempt(to, &payload, ends, latest).instrument(span.clone()).await;
+            let endpoint = carrier.exchanger.directory.address(to).map(tracing::field::display);
+            span.in_scope(|| tracing::debug!(endpoint, outcome = ?ended.outcome, "attempt ended"));
             payload.ended.set(happened(ended.outcome).or(payload.ended.get()));
             ended
         })
--- a/crates/sidecar/src/exchange.rs
+++ b/crates/sidecar/src/exchange.rs
@@ -4,6 +4,7 @@
 use crate::backend::{Lease, Pool};
 use crate::counters::{Counters, count, invariant};
 use crate::directory::Directory;
+use crate::freshness;
 use crate::http::client::{Answer, Exchange};
 use crate::http::server::Coding;
 use crate::http::{Fault, MAX_BULK, Piece};
@@ -20,6 +21,7 @@
 use std::rc::Rc;
 use std::task::Poll;
 use std::time::{Duration, Instant};
+use thiserror::Error;
 use tokio::io::{AsyncReadExt, AsyncWrite, AsyncWriteExt};
 
 /// How far an attempt has come.
@@ -109,7 +111,7 @@
         let mut lease = lease?;
         let whole = async {
             // What the request says of the time that is left is worked out behind this wait.
-            self.notices_read(bounded).await?;
+            self.notices_read(address, bounded).await?;
             let message = message();
             let (written, began) = self.write_first(to, &mut lease, &message).await?;
             lease.stream.write_all(&message[written..]).await?;
@@ -148,11 +150,10 @@
 
     /// Waits until what has come of discovery is read: this process may have been held up, and find a notice and the
     /// connection for a request at once. Danger: how long that takes grows with the list.
-    async fn notices_read(&self, until: Instant) -> io::Result<()> {
+    async fn notices_read(&self, endpoint: SocketAddr, until: Instant) -> io::Result<()> {
         while self.directory.notices().any_unread() {
             if self.pool.platform().now() >= until {
-                count(&self.counters.dispatch_unread);
-                return Err(io::ErrorKind::ConnectionAborted.into());
+                return Err(self.barred(endpoint, Barred::NoticesUnread));
             }
             self.pool.platform().sleep(BETWEEN_NOTICE_LOOKS).await;
         }
@@ -172,37 +173,40 @@
         poll_fn(|context| {
             let now = self.pool.platform().now();
             // Danger: what is not confirmed may have changed, and counts as told after a while all the same.
-            if !self.directory.is_fresh(to, now) {
-                count(&self.counters.dispatch_unconfirmed);
-                self.log_first_byte(
-                    address,
-                    "is barred at an endpoint that may drain, as the list is not confirmed",
-                );
-                return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
-            }
+            let evidence = match self.directory.evidence(to, now) {
+                Ok(evidence) => evidence,
+                Err(lack) => return Poll::Ready(Err(self.barred(address, Barred::NoEvidence(lack)))),
+            };
             if !self.directory.open_at(to, address) {
-                count(&self.counters.dispatch_barred);
-                self.log_first_byte(address, "is barred at an endpoint that drains, is gone or has moved");
-                return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
+                return Poll::Ready(Err(self.barred(address, Barred::NotListed)));
             }
             let written = Pin::new(&mut lease.stream).poll_write(context, message);
             if let Poll::Ready(Ok(_)) = written {
                 let open = self.directory.open(to);
                 invariant(&self.counters, open, "nothing begins at a backend server that is barred");
-                self.log_first_byte(address, "begins");
+                let (version, age) = self.list_held();
+                tracing::debug!(endpoint = %address, version, ?age, ?evidence, "attempt begins");
             }
             written.map_ok(|written| (written, now))
         })
         .await
     }
 
-    fn log_first_byte(&self, endpoint: SocketAddr, event: &str) {
-        tracing::debug!(
-            %endpoint,
-            version = self.directory.version(),
-            age = ?self.directory.confirmed_age(self.pool.platform().now()),
-            "attempt {event}"
-        );
+    /// Counts and logs an attempt that is not begun.
+    fn barred(&self, endpoint: SocketAddr, reason: Barred) -> io::Error {
+        count(match reason {
+            Barred::NoEvidence(_) => &self.counters.dispatch_unconfirmed,
+            Barred::NotListed => &self.counters.dispatch_barred,
+            Barred::NoticesUnread => &self.counters.dispatch_unread,
+        });
+        let (version, age) = self.list_held();
+        tracing::debug!(%endpoint, version, ?age, %reason, "attempt is barred");
+        io::ErrorKind::ConnectionAborted.into()
+    }
+
+    /// The version of the list that is held, and the time since discovery confirmed it.
+    fn list_held(&self) -> (Option<i64>, Option<Duration>) {
+        (self.directory.version(), self.directory.confirmed_age(self.pool.platform().now()))
     }
 
     /// The window for repeats has ended before this one was written whole.
@@ -212,6 +216,20 @@
     }
 }
 
+/// Why an attempt is not begun.
+#[derive(Debug, Clone, Copy, Error)]
+enum Barred {
+    /// Nothing shows that its endpoint may be sent to.
+    #[error("no evidence that the endpoint may be sent to: {0}")]
+    NoEvidence(freshness::Lack),
+    /// Its endpoint drains, is gone or has moved.
+    #[error("the endpoint drains, is gone or has moved")]
+    NotListed,
+    /// Its time ended while a notice of discovery lay unread.
+    #[error("a notice of discovery is unread")]
+    NoticesUnread,
+}
+
 /// When an attempt ends, and by when it is written whole or not at all.
 #[derive(Debug, Clone, Copy)]
 pub struct Ends {
--- a/crates/sidecar/src/freshness.rs
+++ b/crates/sidecar/src/freshness.rs
@@ -9,6 +9,7 @@
 use cometcroft::Trust;
 use std::cell::Cell;
 use std::time::{Duration, Instant};
+use thiserror::Error;
 
 /// An endpoint that drains may go on taking requests for so long after discovery lists it as draining.
 const WINDING_DOWN: Duration = Duration::from_millis(2500);
@@ -26,6 +27,30 @@
 /// That an endpoint took a request shows for so long that it takes another.
 const ACCEPTED: Duration = LIST.saturating_sub(WINDING_DOWN);
 
+/// What shows that a request may begin at an endpoint that the list names as ready.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Evidence {
+    /// Lists are pushed: what the agent does not tell does not count as told.
+    Pushed,
+    /// The list is known to hold for so much longer.
+    ListHolds(Duration),
+    /// The list has lapsed, and discovery counts as down.
+    DiscoveryDown,
+    /// The list has lapsed; the endpoint took a request that began so long ago.
+    Accepted(Duration),
+}
+
+/// Why nothing shows that.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+pub enum Lack {
+    /// The list lapsed so long ago, and the endpoint took no request since it started.
+    #[error("the list lapsed {0:?} ago, and the endpoint took no request")]
+    NeverAccepted(Duration),
+    /// The list lapsed so long ago, and the last request that the endpoint took began so long ago.
+    #[error("the list lapsed {0:?} ago, and the endpoint took its last request {1:?} ago")]
+    AcceptedTooLongAgo(Duration, Duration),
+}
+
 /// What is known of the list as a whole.
 #[derive(Debug)]
 pub struct Freshness {
@@ -90,10 +115,30 @@
         self.holds_until.set(self.holds_until.get().max(as_of + LIST));
     }
 
-    /// Whether a request may begin at an endpoint that took another one, which began at `accepted`, if any.
+    /// What shows that a request may begin at an endpoint that took another one, which began at `accepted`, if any.
+    pub fn evidence(&self, accepted: Option<Instant>, now: Instant) -> Result<Evidence, Lack> {
+        let accepted_ago = accepted.map(|at| now.saturating_duration_since(at));
+        if self.pushed.get() {
+            return Ok(Evidence::Pushed);
+        }
+        let holds_for = self.holds_for(now);
+        if !holds_for.is_zero() {
+            return Ok(Evidence::ListHolds(holds_for));
+        }
+        if self.is_down() {
+            return Ok(Evidence::DiscoveryDown);
+        }
+        let lapsed_ago = now.saturating_duration_since(self.holds_until.get());
+        match accepted_ago {
+            Some(ago) if ago < ACCEPTED => Ok(Evidence::Accepted(ago)),
+            Some(ago) => Err(Lack::AcceptedTooLongAgo(lapsed_ago, ago)),
+            None => Err(Lack::NeverAccepted(lapsed_ago)),
+        }
+    }
+
+    /// Whether anything does.
     pub fn allows(&self, accepted: Option<Instant>, now: Instant) -> bool {
-        let took_one_lately = || accepted.is_some_and(|at| now < at + ACCEPTED);
-        self.pushed.get() || now < self.holds_until.get() || self.is_down() || took_one_lately()
+        self.evidence(accepted, now).is_ok()
     }
 
     /// Discovery counts as down: a fleet whose discovery is gone for good goes on with what it has.
