Freshness: a refused connection no longer prolongs the list over changes before an outage

Cause: Freshness::nobody_listens moved the end of the list to 6 s after each refused connection, on the reading that nothing counts as told while nobody can be reached. That holds for changes made while discovery is down, not for those it had just before. Evidence: in the report all late requests count from the change of 11.89 s and 6 s, though nothing was written from 12.0 to 15.4 s; in the reproduction's log the late requests were opened by "ListHolds" and "DiscoveryDown", with no confirmation since the change. Why it works: a list ends 5.85 s after what confirmed it, whatever happens to calls; a change cannot count as told sooner.

--- a/crates/sidecar/src/discovery/mod.rs
+++ b/crates/sidecar/src/discovery/mod.rs
@@ -295,7 +295,7 @@
                     self.schedule.ask_at_once();
                 }
             }
-            _ if nobody_listens => freshness.nobody_listens(now),
+            _ if nobody_listens => freshness.nobody_listens(),
             _ => freshness.not_answered(began),
         }
         self.tell_trust();
--- a/crates/sidecar/src/freshness.rs
+++ b/crates/sidecar/src/freshness.rs
@@ -84,7 +84,7 @@
     /// while it was on its way.
     pub fn confirmed(&self, began: Instant, first_byte: Instant) {
         let as_of = first_byte.checked_sub(MADE_BEFORE).map_or(began, |made| made.max(began));
-        self.extend(as_of);
+        self.holds_until.set(self.holds_until.get().max(as_of + LIST));
         self.unanswered.set(0);
         self.unreachable.set(false);
     }
@@ -94,12 +94,8 @@
         self.holds_until.get().saturating_duration_since(now)
     }
 
-    /// Nobody listened where discovery is, so nothing counts as told before [`TOLD`] from now: what had not yet counted as
-    /// told counts anew from its return.
-    pub fn nobody_listens(&self, now: Instant) {
-        if now < self.holds_until.get() {
-            self.extend(now);
-        }
+    /// Nobody listened where discovery is. Danger: that says nothing of what it had before it went down.
+    pub fn nobody_listens(&self) {
         self.unreachable.set(true);
     }
 
@@ -111,10 +107,6 @@
         }
     }
 
-    fn extend(&self, as_of: Instant) {
-        self.holds_until.set(self.holds_until.get().max(as_of + LIST));
-    }
-
     /// What shows that a request may begin at an endpoint that took another one, which began at `accepted`, if any.
     pub fn evidence(&self, accepted: Option<Instant>, now: Instant) -> Result<Evidence, Lack> {
         let accepted_ago = accepted.map(|at| now.saturating_duration_since(at));
