Freshness: calls that fail open no endpoint, however many and of whatever kind

Cause: three unanswered calls, or one refused connection, were taken for a discovery that is down, and Freshness::allows let everything pass; the decision module then sent to the endpoint that took a request last. Silence says nothing of what discovery had before it. Tests changed: a_discovery_that_answers_none_of_three_calls_counts_as_down and without_any_evidence_the_upstream_that_took_a_request_last_gets_the_next asserted what broke; each has its opposite in its place. A hand-over and a story of a listener whose discovery never answered have one that answers; their assertions are the same.

--- a/crates/module/src/interface.rs
+++ b/crates/module/src/interface.rs
@@ -408,8 +408,6 @@
     pub list_for: Duration,
     /// After that, one that took a request is ready for so long after the send.
     pub accepted_for: Duration,
-    /// Where there is none, the one that took a request last may be sent to.
-    pub without_evidence: bool,
 }
 
 /// What a balancer hears.
--- a/crates/module/src/policy/trust.rs
+++ b/crates/module/src/policy/trust.rs
@@ -1,7 +1,6 @@
 //! Trust: which rows may be sent to while the list of upstreams is not confirmed.
 
 use super::Balancer;
-use super::request::Request;
 use crate::interface::*;
 use std::time::Duration;
 
@@ -23,11 +22,6 @@
         let Some((at, trust)) = self.told else { return true };
         now < at + trust.list_for || accepted.is_some_and(|accepted| now < accepted + trust.accepted_for)
     }
-
-    /// Whether one without evidence may be sent to where there is none with it.
-    fn does_without_evidence(&self) -> bool {
-        self.told.is_some_and(|(_, trust)| trust.without_evidence)
-    }
 }
 
 impl Balancer {
@@ -40,15 +34,4 @@
             _ => {}
         }
     }
-
-    /// The row that took a request last, if rows may be sent to without evidence.
-    pub(super) fn accepted_last(&mut self, now: Time, request: &Request) -> Option<usize> {
-        if !self.trust.does_without_evidence() {
-            return None;
-        }
-        let rows = self.rows.clone();
-        let may_take = |&at: &usize| self.suits(now, at, request, false) && self.cold_allows(now, at);
-        let open: Vec<usize> = rows.into_iter().filter(may_take).collect();
-        open.into_iter().max_by_key(|&place| self.table.upstreams[place].accepted)
-    }
 }
--- a/crates/module/src/policy/walk.rs
+++ b/crates/module/src/policy/walk.rs
@@ -43,8 +43,7 @@
             }
         }
         let place = (0..self.rows.len()).find(|&at| self.may_take(now, self.rows[at], request, false));
-        let place = place.map(|at| self.rows[at]).or_else(|| self.accepted_last(now, request));
-        place.map(|place| self.table.ids[place])
+        place.map(|at| self.table.ids[self.rows[at]])
     }
 
     /// The sound row whose turn is next, however far off.
@@ -61,16 +60,10 @@
 
     /// Whether it may take this request, but for what a cold upstream may be sent.
     fn is_eligible(&self, now: Time, place: usize, request: &Request, strict: bool) -> bool {
-        self.trust.covers(now, self.table.upstreams[place].accepted)
-            && self.suits(now, place, request, strict)
-    }
-
-    /// The same, whether or not the list can be relied on.
-    pub(super) fn suits(&self, now: Time, place: usize, request: &Request, strict: bool) -> bool {
         let class = &self.settings.classes[request.class];
         let alone = self.settings.rules.drain_binds_alone;
         let (up, id) = (&self.table.upstreams[place], self.table.ids[place]);
-        if !up.may_be_sent_to(alone) {
+        if !up.may_be_sent_to(alone) || !self.trust.covers(now, up.accepted) {
             return false;
         }
         // Rule 2: a keyed request that may have run goes only to those who drop its repeat, while they do.
--- a/crates/module/tests/scenarios.rs
+++ b/crates/module/tests/scenarios.rs
@@ -1072,14 +1072,14 @@
 }
 
 /// The list can be relied on for a second, and what an upstream took for two.
-fn trust(without_evidence: bool) -> Event {
-    Event::Trust(Some(Trust { list_for: ms(1000), accepted_for: ms(2000), without_evidence }))
+fn trust() -> Event {
+    Event::Trust(Some(Trust { list_for: ms(1000), accepted_for: ms(2000) }))
 }
 
 #[test]
 fn while_the_list_is_not_confirmed_only_upstreams_that_took_a_request_lately_get_one() {
     let mut d = Drive::new(Settings::example(), (0..3).map(member).collect());
-    d.tell(trust(false));
+    d.tell(trust());
     d.pass(ms(900));
     let serves = |up: UpstreamId| match up.0 {
         0 => (Outcome::Full, ms(1), None),
@@ -1095,15 +1095,19 @@
     d.pass(ms(2100));
     let (_, actions) = d.ask(0, ms(2000));
     assert!(refused(&actions), "nobody took one lately: {actions:?}");
-    d.tell(trust(false));
+    d.tell(trust());
     assert!(d.call(0, serves).is_some(), "the list is confirmed");
 }
 
+/// Guards against probes of endpoints that may drain, however long discovery has been silent.
 #[test]
-fn without_any_evidence_the_upstream_that_took_a_request_last_gets_the_next() {
+fn without_any_evidence_a_request_is_refused() {
     let mut d = Drive::new(Settings::example(), (0..3).map(member).collect());
-    d.tell(trust(true));
-    let last = d.call(0, |_| (Outcome::Ok, ms(20), None));
-    d.pass(ms(60_000));
-    assert_eq!(d.call(0, |_| (Outcome::Ok, ms(20), None)), last);
+    d.tell(trust());
+    assert!(d.call(0, |_| (Outcome::Ok, ms(20), None)).is_some());
+    for _ in 0..20 {
+        d.pass(ms(3_000));
+        let (_, actions) = d.ask(0, ms(2000));
+        assert!(refused(&actions), "{actions:?}");
+    }
 }
--- a/crates/sidecar/src/discovery/mod.rs
+++ b/crates/sidecar/src/discovery/mod.rs
@@ -266,7 +266,6 @@
             barred,
             "call to discovery ended"
         );
-        let nobody_listens = matches!(outcome, Outcome::NobodyListens);
         let failure = match outcome {
             Outcome::Answered(list) => {
                 self.idle = stream.or(self.idle.take());
@@ -288,15 +287,11 @@
             }
         };
         let (freshness, now) = (self.directory.freshness(), self.platform.now());
-        match (failure, first_byte) {
-            (None, Some(first_byte)) => {
-                freshness.confirmed(began, first_byte);
-                if freshness.holds_for(now) < LAPSES_SOON {
-                    self.schedule.ask_at_once();
-                }
+        if let (None, Some(first_byte)) = (failure, first_byte) {
+            freshness.confirmed(began, first_byte);
+            if freshness.holds_for(now) < LAPSES_SOON {
+                self.schedule.ask_at_once();
             }
-            _ if nobody_listens => freshness.nobody_listens(),
-            _ => freshness.not_answered(began),
         }
         self.tell_trust();
         self.log_change_of_state(failure);
--- a/crates/sidecar/src/freshness.rs
+++ b/crates/sidecar/src/freshness.rs
@@ -3,7 +3,8 @@
 //! A change counts as told [`TOLD`] after discovery had it, whether or not it could answer all who asked. So what is held
 //! lapses that long after the instant as of which it was known to hold, and nobody can tell then whether an endpoint drains,
 //! but by the endpoint itself: one that drains turns new requests away after a while ([`WINDING_DOWN`]). Until the list is
-//! confirmed, requests begin only at endpoints that took one lately.
+//! confirmed, requests begin only at endpoints that took one lately. That calls fail, however they do, opens nothing: it says
+//! nothing of what discovery had before.
 
 use crate::discovery::schedule::TOLD;
 use cometcroft::Trust;
@@ -19,9 +20,6 @@
 const HELD_UP: Duration = Duration::from_millis(150);
 /// The list that a process is started with holds for so long: its predecessor had it a moment ago.
 const KNOWN: Duration = Duration::from_millis(2500);
-/// After so many calls in a row that were made with a lapsed list and not answered, discovery counts as down: one that is
-/// only crowded would have answered one of them.
-const DOWN_FROM: u32 = 3;
 /// A list holds for so long.
 const LIST: Duration = TOLD.saturating_sub(HELD_UP);
 /// That an endpoint took a request shows for so long that it takes another.
@@ -34,8 +32,6 @@
     Pushed,
     /// The list is known to hold for so much longer.
     ListHolds(Duration),
-    /// The list has lapsed, and discovery counts as down.
-    DiscoveryDown,
     /// The list has lapsed; the endpoint took a request that began so long ago.
     Accepted(Duration),
 }
@@ -58,21 +54,12 @@
     pushed: Cell<bool>,
     /// No change counts as told before then that is not known here.
     holds_until: Cell<Instant>,
-    /// Calls that were made since and not answered.
-    unanswered: Cell<u32>,
-    /// Nobody listened at the last call.
-    unreachable: Cell<bool>,
 }
 
 impl Freshness {
     /// Of the list that a process is started with.
     pub fn new(now: Instant) -> Freshness {
-        Freshness {
-            pushed: Cell::new(false),
-            holds_until: Cell::new(now + KNOWN),
-            unanswered: Cell::new(0),
-            unreachable: Cell::new(false),
-        }
+        Freshness { pushed: Cell::new(false), holds_until: Cell::new(now + KNOWN) }
     }
 
     /// How lists come by the settings.
@@ -85,8 +72,6 @@
     pub fn confirmed(&self, began: Instant, first_byte: Instant) {
         let as_of = first_byte.checked_sub(MADE_BEFORE).map_or(began, |made| made.max(began));
         self.holds_until.set(self.holds_until.get().max(as_of + LIST));
-        self.unanswered.set(0);
-        self.unreachable.set(false);
     }
 
     /// The list holds for so much longer, whatever becomes of calls.
@@ -94,19 +79,6 @@
         self.holds_until.get().saturating_duration_since(now)
     }
 
-    /// Nobody listened where discovery is. Danger: that says nothing of what it had before it went down.
-    pub fn nobody_listens(&self) {
-        self.unreachable.set(true);
-    }
-
-    /// A call that began at `began` was not answered.
-    pub fn not_answered(&self, began: Instant) {
-        self.unreachable.set(false);
-        if began >= self.holds_until.get() {
-            self.unanswered.set(self.unanswered.get().saturating_add(1));
-        }
-    }
-
     /// What shows that a request may begin at an endpoint that took another one, which began at `accepted`, if any.
     pub fn evidence(&self, accepted: Option<Instant>, now: Instant) -> Result<Evidence, Lack> {
         let accepted_ago = accepted.map(|at| now.saturating_duration_since(at));
@@ -117,9 +89,6 @@
         if !holds_for.is_zero() {
             return Ok(Evidence::ListHolds(holds_for));
         }
-        if self.is_down() {
-            return Ok(Evidence::DiscoveryDown);
-        }
         let lapsed_ago = now.saturating_duration_since(self.holds_until.get());
         match accepted_ago {
             Some(ago) if ago < ACCEPTED => Ok(Evidence::Accepted(ago)),
@@ -133,20 +102,11 @@
         self.evidence(accepted, now).is_ok()
     }
 
-    /// Discovery counts as down: a fleet whose discovery is gone for good goes on with what it has.
-    fn is_down(&self) -> bool {
-        self.unreachable.get() || self.unanswered.get() >= DOWN_FROM
-    }
-
     /// The same for the decision module; none where lists are pushed.
     pub fn trust(&self, now: Instant) -> Option<Trust> {
         if self.pushed.get() {
             return None;
         }
-        Some(Trust {
-            list_for: self.holds_for(now),
-            accepted_for: ACCEPTED,
-            without_evidence: self.is_down(),
-        })
+        Some(Trust { list_for: self.holds_for(now), accepted_for: ACCEPTED })
     }
 }
--- a/crates/sidecar/tests/crossings.rs
+++ b/crates/sidecar/tests/crossings.rs
@@ -374,6 +374,7 @@
     // Another that waited before it may have left at once.
     for failing_accepts in [0, 1, 3] {
         story(|sidecar| async move {
+            let _discovery = confirm_all(&sidecar);
             sidecar.life.begin();
             Tokio.sleep(LINGER - 100 * MS).await;
             // Both lie there when the sidecar goes on: its time is over, and the request has come.
--- a/crates/sidecar/tests/freshness.rs
+++ b/crates/sidecar/tests/freshness.rs
@@ -51,34 +51,18 @@
     assert!(!freshness.allows(Some(now - 3500 * MS), now));
 }
 
-/// Guards against issue 52: what discovery had before it went down counts as told, whether or not it is up.
+/// Guards against issue 52: an absence of answers, however long and of whatever kind, opened every endpoint.
 #[test]
-fn a_refused_connection_does_not_prolong_the_list() {
+fn once_the_list_has_lapsed_only_an_answer_opens_endpoints_without_evidence() {
     let (freshness, began) = started();
     let answered = began + 10_000 * MS;
     freshness.confirmed(answered, answered);
-    let holds_for = freshness.holds_for(answered);
-    for _ in 0..10 {
-        freshness.nobody_listens();
-        assert_eq!(freshness.holds_for(answered), holds_for);
+    for seconds in [6, 10, 60, 600, 3600] {
+        assert!(!freshness.allows(None, answered + Duration::from_secs(seconds)));
     }
-    // It is back, and is crowded.
-    freshness.not_answered(answered + 5000 * MS);
-    assert!(!freshness.allows(None, answered + TOLD));
-}
-
-#[test]
-fn a_discovery_that_answers_none_of_three_calls_counts_as_down() {
-    let (freshness, began) = started();
-    let mut now = began + 3000 * MS;
-    for _ in 0..3 {
-        assert!(!freshness.allows(None, now));
-        freshness.not_answered(now);
-        now += 2000 * MS;
-    }
-    assert!(freshness.allows(None, now));
-    freshness.confirmed(now, now);
-    assert!(!freshness.allows(None, now + TOLD));
+    let later = answered + Duration::from_secs(3600);
+    freshness.confirmed(later, later);
+    assert!(freshness.allows(None, later));
 }
 
 #[test]
@@ -88,37 +72,21 @@
     assert!(freshness.allows(None, began + 60_000 * MS) && freshness.trust(began).is_none());
 }
 
-/// What a sidecar hears of discovery.
-#[derive(Debug, Clone, Copy)]
-enum Heard {
-    Answer,
-    NobodyListens,
-}
-
 proptest! {
     #![proptest_config(common::fixed(2000))]
-    /// Whatever is heard and when: nothing begins by the list alone when a change right after the last answer may count as
-    /// told, whether or not discovery went down after it.
+    /// Whenever answers come: nothing begins by the list alone when a change right after the last one may count as told.
     #[test]
     fn nothing_begins_when_a_change_may_count_as_told(
-        heard in proptest::collection::vec(
-            (0u32..9000, prop_oneof![Just(Heard::Answer), Just(Heard::NobodyListens)]), 1..20),
+        pauses in proptest::collection::vec(0u32..9000, 1..20),
         asked in 0u32..9000,
     ) {
         let (freshness, began) = started();
         let (mut now, mut told) = (began, began + TOLD);
-        for (pause, heard) in heard {
+        for pause in pauses {
             now += pause * MS;
-            match heard {
-                Heard::Answer => {
-                    freshness.confirmed(now, now);
-                    told = now + TOLD;
-                }
-                Heard::NobodyListens => freshness.nobody_listens(),
-            }
+            freshness.confirmed(now, now);
+            told = now + TOLD;
         }
-        // Reached again, but crowded.
-        freshness.not_answered(now);
         let at = now + asked * MS;
         prop_assert!(at < told || !freshness.allows(None, at));
     }
--- a/crates/sidecar/tests/processes.rs
+++ b/crates/sidecar/tests/processes.rs
@@ -209,7 +209,8 @@
     let socket = TcpListener::bind("127.0.0.1:0").expect("a port");
     socket2::SockRef::from(&socket).set_cloexec(false).expect("a flag");
     let clients = socket.local_addr().expect("bound");
-    let [_, one, discovery] = places(1)[0];
+    let discovery = common::program::discovery(vec![server]);
+    let [_, one, _] = places(1)[0];
     let two = places(1)[0][1];
     let config = common::config(&clients.to_string(), &discovery.to_string(), &list(&[server], 1));
     let begin = |ops: SocketAddr| {
@@ -222,7 +223,6 @@
         asked.is_ok() && head(&mut stream).starts_with("HTTP/1.1 200")
     };
     let old = begin(one);
-    // Discovery is down: each makes do with the list it was given after 2.5 s.
     until("the first is ready", || serves(one));
     let (mut owed, mut kept) = (connect(clients), connect(clients));
     request(&mut owed, "POST /book/1");
