Freshness: the list that a process is started with opens nothing until discovery answers

Cause: the list given at the start was relied on for 2.5 s, whatever its age; it is the predecessor's, and the limit of 6 s runs from the change, not from the start. The reproduction's log: the late requests of just started processes were opened by "ListHolds" with no answer since the start. Why it works: nothing is held before the first answer. A pushed list counts once the agent was asked.

--- a/crates/sidecar/src/directory.rs
+++ b/crates/sidecar/src/directory.rs
@@ -90,9 +90,8 @@
 }
 
 impl Directory {
-    /// An empty directory. The module's clock at this moment is `origin`, the platform's `now`, and `unix` is the time since
-    /// the Unix epoch.
-    pub fn new(zones: Vec<String>, origin: Time, now: Instant, unix: Duration) -> Directory {
+    /// An empty directory. The module's clock at this moment is `origin`, and `unix` is the time since the Unix epoch.
+    pub fn new(zones: Vec<String>, origin: Time, unix: Duration) -> Directory {
         Directory {
             judge: RefCell::new(None),
             entries: RefCell::default(),
@@ -102,7 +101,7 @@
             next: Cell::new(0),
             zones: RefCell::new(zones),
             staleness: Staleness::default(),
-            freshness: Freshness::new(now),
+            freshness: Freshness::default(),
             notices: Notices::default(),
             start_clock: StartClock::new(origin, unix),
         }
--- a/crates/sidecar/src/discovery/mod.rs
+++ b/crates/sidecar/src/discovery/mod.rs
@@ -293,6 +293,9 @@
                 self.schedule.ask_at_once();
             }
         }
+        freshness.call_ended();
+        let holds = freshness.list_evidence(now).is_ok();
+        self.life.tell(|machine, _| machine.listed(!self.directory.is_empty(), holds));
         self.tell_trust();
         self.log_change_of_state(failure);
         if let Some(failure) = failure {
@@ -325,7 +328,6 @@
                 let now = self.now();
                 self.schedule.answered(id, now);
                 self.host.tell(Event::Members { scope: news.scope, entries: news.entries });
-                self.life.tell(|machine, _| machine.listed(!self.directory.is_empty(), true));
                 None
             }
             Taken::Older => {
--- a/crates/sidecar/src/freshness.rs
+++ b/crates/sidecar/src/freshness.rs
@@ -18,8 +18,6 @@
 const MADE_BEFORE: Duration = Duration::from_millis(400);
 /// This process may be held up for so long between a look at the clock and a write.
 const HELD_UP: Duration = Duration::from_millis(150);
-/// The list that a process is started with holds for so long: its predecessor had it a moment ago.
-const KNOWN: Duration = Duration::from_millis(2500);
 /// A list holds for so long.
 const LIST: Duration = TOLD.saturating_sub(HELD_UP);
 /// That an endpoint took a request shows for so long that it takes another.
@@ -28,40 +26,49 @@
 /// What shows that a request may begin at an endpoint that the list names as ready.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Evidence {
-    /// Lists are pushed: what the agent does not tell does not count as told.
+    /// Lists are pushed, and the agent has been asked: what it does not tell does not count as told.
     Pushed,
     /// The list is known to hold for so much longer.
     ListHolds(Duration),
-    /// The list has lapsed; the endpoint took a request that began so long ago.
+    /// The list does not hold; the endpoint took a request that began so long ago.
     Accepted(Duration),
 }
 
 /// Why nothing shows that.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
 pub enum Lack {
-    /// The list lapsed so long ago, and the endpoint took no request since it started.
-    #[error("the list lapsed {0:?} ago, and the endpoint took no request")]
-    NeverAccepted(Duration),
-    /// The list lapsed so long ago, and the last request that the endpoint took began so long ago.
-    #[error("the list lapsed {0:?} ago, and the endpoint took its last request {1:?} ago")]
-    AcceptedTooLongAgo(Duration, Duration),
+    /// The endpoint took no request since it started.
+    #[error("{0}, and the endpoint took no request")]
+    NeverAccepted(NotHeld),
+    /// The last request that the endpoint took began so long ago.
+    #[error("{0}, and the endpoint took its last request {1:?} ago")]
+    AcceptedTooLongAgo(NotHeld, Duration),
+}
+
+/// Why the list does not hold.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+pub enum NotHeld {
+    /// Discovery has not answered since the process started.
+    #[error("no list was confirmed since the start")]
+    NeverConfirmed,
+    /// It lapsed so long ago.
+    #[error("the list lapsed {0:?} ago")]
+    Lapsed(Duration),
 }
 
 /// What is known of the list as a whole.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Freshness {
-    /// Lists are pushed by an agent: what it does not tell does not count as told.
+    /// Lists are pushed by an agent.
     pushed: Cell<bool>,
-    /// No change counts as told before then that is not known here.
-    holds_until: Cell<Instant>,
+    /// The agent has answered since the start, or has let a call go unanswered, as it does while discovery is down.
+    agent_asked: Cell<bool>,
+    /// No change counts as told before then that is not known here. Danger: the list that a process is started with may be of
+    /// any age, so there is none before discovery has answered.
+    holds_until: Cell<Option<Instant>>,
 }
 
 impl Freshness {
-    /// Of the list that a process is started with.
-    pub fn new(now: Instant) -> Freshness {
-        Freshness { pushed: Cell::new(false), holds_until: Cell::new(now + KNOWN) }
-    }
-
     /// How lists come by the settings.
     pub fn configure(&self, pushed: bool) {
         self.pushed.set(pushed);
@@ -71,42 +78,52 @@
     /// while it was on its way.
     pub fn confirmed(&self, began: Instant, first_byte: Instant) {
         let as_of = first_byte.checked_sub(MADE_BEFORE).map_or(began, |made| made.max(began));
-        self.holds_until.set(self.holds_until.get().max(as_of + LIST));
+        self.holds_until.set(self.holds_until.get().max(Some(as_of + LIST)));
+    }
+
+    /// A call has ended, with or without an answer.
+    pub fn call_ended(&self) {
+        self.agent_asked.set(true);
     }
 
     /// The list holds for so much longer, whatever becomes of calls.
     pub fn holds_for(&self, now: Instant) -> Duration {
-        self.holds_until.get().saturating_duration_since(now)
+        self.holds_until.get().map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
     }
 
-    /// What shows that a request may begin at an endpoint that took another one, which began at `accepted`, if any.
-    pub fn evidence(&self, accepted: Option<Instant>, now: Instant) -> Result<Evidence, Lack> {
-        let accepted_ago = accepted.map(|at| now.saturating_duration_since(at));
-        if self.pushed.get() {
+    /// What shows that a request may begin at any endpoint that is listed as ready.
+    pub fn list_evidence(&self, now: Instant) -> Result<Evidence, NotHeld> {
+        if self.pushed.get() && self.agent_asked.get() {
             return Ok(Evidence::Pushed);
         }
-        let holds_for = self.holds_for(now);
-        if !holds_for.is_zero() {
-            return Ok(Evidence::ListHolds(holds_for));
-        }
-        let lapsed_ago = now.saturating_duration_since(self.holds_until.get());
-        match accepted_ago {
-            Some(ago) if ago < ACCEPTED => Ok(Evidence::Accepted(ago)),
-            Some(ago) => Err(Lack::AcceptedTooLongAgo(lapsed_ago, ago)),
-            None => Err(Lack::NeverAccepted(lapsed_ago)),
+        match self.holds_until.get() {
+            Some(until) if now < until => Ok(Evidence::ListHolds(until - now)),
+            Some(until) => Err(NotHeld::Lapsed(now - until)),
+            None => Err(NotHeld::NeverConfirmed),
         }
     }
 
+    /// The same for an endpoint that took a request, which began at `accepted`, if any.
+    pub fn evidence(&self, accepted: Option<Instant>, now: Instant) -> Result<Evidence, Lack> {
+        self.list_evidence(now).or_else(|not_held| {
+            match accepted.map(|at| now.saturating_duration_since(at)) {
+                Some(ago) if ago < ACCEPTED => Ok(Evidence::Accepted(ago)),
+                Some(ago) => Err(Lack::AcceptedTooLongAgo(not_held, ago)),
+                None => Err(Lack::NeverAccepted(not_held)),
+            }
+        })
+    }
+
     /// Whether anything does.
     pub fn allows(&self, accepted: Option<Instant>, now: Instant) -> bool {
         self.evidence(accepted, now).is_ok()
     }
 
-    /// The same for the decision module; none where lists are pushed.
+    /// How far the decision module can rely on the list; none: without end.
     pub fn trust(&self, now: Instant) -> Option<Trust> {
-        if self.pushed.get() {
-            return None;
+        match self.list_evidence(now) {
+            Ok(Evidence::Pushed) => None,
+            _ => Some(Trust { list_for: self.holds_for(now), accepted_for: ACCEPTED }),
         }
-        Some(Trust { list_for: self.holds_for(now), accepted_for: ACCEPTED })
     }
 }
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -112,8 +112,7 @@
     let member = fleet.map(|parts| Fleet::new(platform.clone(), parts, instances, seed.rotate_left(32)));
     let (fleet, meets) = member.unzip();
     let pool = Pool::new(platform.clone(), to_backends, [idle, dial], counters.clone(), fleet.clone());
-    let directory =
-        Rc::new(Directory::new(config.net.zones.clone(), ORIGIN, platform.now(), platform.unix()));
+    let directory = Rc::new(Directory::new(config.net.zones.clone(), ORIGIN, platform.unix()));
     let exchanger =
         Exchanger { pool: pool.clone(), directory: directory.clone(), counters: counters.clone() };
     let fields = Rc::new(RefCell::new(config.fields.into()));
--- a/crates/sidecar/src/lifecycle.rs
+++ b/crates/sidecar/src/lifecycle.rs
@@ -26,7 +26,10 @@
 const DRAINED: [Duration; 2] = [Duration::from_millis(400), Duration::from_millis(1600)];
 /// ... and after SIGTERM where a successor accepts already.
 const HANDED_OVER: [Duration; 2] = [Duration::from_millis(200), Duration::from_millis(1200)];
-/// A successor waits so long for a list of its own before it makes do with the one it was given, ...
+/// Without a list that discovery has confirmed clients are wanted after this time: a process that has been restarted is to be
+/// ready within 6 s, ...
+const UNCONFIRMED: Duration = Duration::from_millis(5000);
+/// ... and one that has a predecessor after this, ...
 const UNTOLD: Duration = Duration::from_millis(2500);
 /// ... and accepts after this, as nobody else may be there to say that nothing can be served.
 const ALONE: Duration = Duration::from_millis(3000);
@@ -64,7 +67,7 @@
         self.shared
     }
 
-    /// The list of backend servers is known, or known to be empty; `fresh` if discovery said so to this process.
+    /// The list of backend servers is known, or known to be empty; `fresh` if it holds by what discovery said to this process.
     pub fn listed(&mut self, any: bool, fresh: bool) {
         self.listed = any;
         self.fresh |= fresh;
@@ -92,8 +95,9 @@
 
     /// Clients are wanted: what `/up` and readiness say.
     pub fn wanted(&self, now: Instant) -> bool {
-        let told = !self.shared || self.fresh || now >= self.born + UNTOLD;
-        self.listed && told && self.drain.is_none() && self.term.is_none()
+        let without = if self.shared { UNTOLD } else { UNCONFIRMED };
+        let confirmed = self.fresh || now >= self.born + without;
+        self.listed && confirmed && self.drain.is_none() && self.term.is_none()
     }
 
     /// When the listening socket is read from. Danger: who accepts before it can serve takes clients from the
--- a/crates/sidecar/tests/long_lists.rs
+++ b/crates/sidecar/tests/long_lists.rs
@@ -5,7 +5,7 @@
 
 use cometcroft_platform::{Platform, Tokio};
 use cometcroft_sidecar::config::Config;
-use common::story::{PLAN, Peer, Sidecar, next, pushed, reaches, row, slow_dials, story, story_with};
+use common::story::{PLAN, Peer, Sidecar, next, pushed, reaches, row, slow_dials, story, story_with, watch};
 use std::fmt::Write;
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -363,8 +363,7 @@
         slow_dials(text).replace("\"drain-grace-ns\":250000000", "\"drain-grace-ns\":100000000")
     };
     story_with(short_grace, |sidecar| async move {
-        let mut discovery = next(&sidecar.discovery).await;
-        discovery.hear().await;
+        let mut discovery = watch(&sidecar).await;
         sidecar.gates.shut(sidecar.server());
         let mut client = Peer::to(&sidecar).await;
         client.say(PLAN).await;
@@ -383,8 +382,7 @@
 #[test]
 fn nothing_is_sent_to_the_old_address_of_an_endpoint_that_moved() {
     story_with(slow_dials, |sidecar| async move {
-        let mut discovery = next(&sidecar.discovery).await;
-        discovery.hear().await;
+        let mut discovery = watch(&sidecar).await;
         sidecar.gates.shut(sidecar.server());
         let mut client = Peer::to(&sidecar).await;
         client.say(PLAN).await;
