--- a/crates/emulator/tests/hard_cases.rs
+++ b/crates/emulator/tests/hard_cases.rs
@@ -193,7 +193,7 @@
         (Defect::AnswersLate, "mixed", 1, Rule::OneFinalAnswer),
         (Defect::AnswersTwice, "calm", 1, Rule::OneFinalAnswer),
         (Defect::LosesOnRestart, "restart", 1, Rule::TakenIsNotLost),
-        (Defect::HearsLate, "drains", 2, Rule::DrainWindow),
+        (Defect::HearsLate, "drains", 1, Rule::DrainWindow),
     ] {
         let scenario = Scenario::find(name).expect("shipped").shortened(20.0);
         let report = Emulator::new(Day::draw(&scenario, seed), Some(defect)).play(true);
