Soak: discovery goes down after its first answer, and a run forwards requests

Cause: a third of the runs had a discovery that was down from the start; since a process sends nothing before an answer, those would have tested no endpoint. Change: discovery answers once there (the same stand-in as the test of descriptors); a run in which 20 requests or fewer reach an endpoint is an error. Not judged there, as before: drains, slow start, deadlines passed on, descriptors, memory.

--- a/crates/sidecar/tests/common/program.rs
+++ b/crates/sidecar/tests/common/program.rs
@@ -7,6 +7,7 @@
 use std::process::{Child, Command, Output, Stdio};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
 /// What a stand-in received.
@@ -156,6 +157,19 @@
     }
 }
 
+/// Discovery at this address answers its first call, that there is no news, and goes down.
+pub fn confirm_once(address: SocketAddr) -> JoinHandle<()> {
+    let listener = TcpListener::bind(address).expect("its address");
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a call");
+        drop(listener);
+        head(&mut stream);
+        let list = r#"{"index":1,"snapshot":false,"endpoints":[]}"#;
+        let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len());
+        stream.write_all(answer.as_bytes()).expect("it reads");
+    })
+}
+
 pub static NUMBER: AtomicU64 = AtomicU64::new(1);
 
 static PLACES: AtomicU64 = AtomicU64::new(0);
--- a/crates/sidecar/tests/processes.rs
+++ b/crates/sidecar/tests/processes.rs
@@ -2,7 +2,7 @@
 #![allow(clippy::disallowed_methods)]
 mod common;
 
-use common::program::{NUMBER, Process, list, places};
+use common::program::{NUMBER, Process, confirm_once, list, places};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::Ordering;
@@ -73,17 +73,6 @@
     (at, comes)
 }
 
-/// Discovery answers its first call, that there is no news, and goes down.
-fn confirm_once(discovery: SocketAddr) {
-    let listener = TcpListener::bind(discovery).expect("its address");
-    let (mut stream, _) = listener.accept().expect("a call");
-    drop(listener);
-    head(&mut stream);
-    let list = r#"{"index":1,"snapshot":false,"endpoints":[]}"#;
-    let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len());
-    stream.write_all(answer.as_bytes()).expect("it reads");
-}
-
 /// Clients that say nothing, clients that have been served and operators fill all places while discovery is down: requests
 /// are answered all the same, and discovery is found when it is back.
 #[test]
@@ -94,7 +83,7 @@
         let config = common::config(&listen.to_string(), &discovery.to_string(), &list(&[server], 1))
             .replace("\"sockets\":256", &format!("\"sockets\":{descriptors}"));
         let process = Process::start(&config, &[("LB_OPS", ops.to_string())], descriptors);
-        confirm_once(discovery);
+        confirm_once(discovery).join().expect("no panic");
         until("it is ready", || ready(listen));
         let mut idle = Vec::new();
         for number in 0..descriptors {
--- a/crates/sidecar/tests/shutdown_soak.rs
+++ b/crates/sidecar/tests/shutdown_soak.rs
@@ -5,7 +5,7 @@
 #![allow(clippy::disallowed_methods)]
 mod common;
 
-use common::program::{NUMBER, Process, ask, head, list, places, stand_in};
+use common::program::{NUMBER, Process, ask, confirm_once, head, list, places, stand_in};
 use fastrand::Rng;
 use std::collections::HashSet;
 use std::io::Write;
@@ -38,6 +38,7 @@
     /// Endpoints take so long; one may hang.
     work: Duration,
     hangs: bool,
+    /// Discovery goes down after its first answer.
     discovery_down: bool,
 }
 
@@ -71,18 +72,23 @@
 
 /// Starts a process, and waits until it is ready; tells where it listens.
 fn start(plan: &Plan, endpoints: &[SocketAddr], seed: u64) -> (Process, SocketAddr) {
-    let [listen, _, nobody] = places(1)[0];
+    let [listen, _, down] = places(1)[0];
     let known = list(endpoints, 1);
     let whole = known.clone();
     let answer = move |asked: &str| {
         let held = asked.contains("hold_ms=");
-        if held {
+        if held && !asked.contains("hold_ms=0 ") {
             sleep(500 * MS);
         }
         let body = if held { r#"{"index":1,"snapshot":false,"endpoints":[]}"# } else { &whole };
         format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
     };
-    let discovery = if plan.discovery_down { nobody } else { stand_in(move |asked, _| answer(asked)).0 };
+    let discovery = if plan.discovery_down {
+        confirm_once(down);
+        down
+    } else {
+        stand_in(move |asked, _| answer(asked)).0
+    };
     let deadline = plan.deadline.as_nanos();
     let config = common::config(&listen.to_string(), &discovery.to_string(), &known)
         .replace("\"deadline-ns\":3000000000", &format!("\"deadline-ns\":{deadline}"))
@@ -274,6 +280,8 @@
         return None;
     }
     assert!(answered > 20, "seed {seed}: too few requests to judge");
+    let forwarded = played.forwarded.len();
+    assert!(forwarded > 20, "seed {seed}: {forwarded} requests reached an endpoint, too few to judge");
     Some(lost)
 }
 
