Tests: an endpoint that drains and serves on gets late requests, failing, known red

Cause: once a list has lapsed an endpoint that took a request within 3.35 s gets the next, on the assumption that one that drains takes requests for 2.5 s at most. In the log of its sender the endpoint, listed as draining from 17.62 s on, served until 24.48 s; the sender's list was confirmed by a call of 13.3 s, its calls of 16.9, 18.7 and 20.3 s were refused, that of 22.1 s was answered at 24.53 s; every late request was opened by "Accepted". Ruled out: the list; it had lapsed at 19.1 s, and nothing was opened by it after.

--- a/crates/sidecar/tests/crowded_discovery.rs
+++ b/crates/sidecar/tests/crowded_discovery.rs
@@ -43,6 +43,8 @@
 #[derive(Default)]
 struct World {
     discovery: Mutex<Service>,
+    /// Endpoints that drain go on serving.
+    serves_on: bool,
     /// Since when the first endpoints drain.
     drained: Mutex<Option<Instant>>,
     /// When requests began: by whom, at which endpoint.
@@ -104,7 +106,7 @@
         let id = asked.split("X-Call-Id: ").nth(1).and_then(|rest| rest.split('-').next()).unwrap_or("");
         world.begun.lock().expect("no panic").push((id.to_owned(), number, first_byte));
         match world.drained_for(number) {
-            Some(time) if time > WINDING_DOWN => {
+            Some(time) if time > WINDING_DOWN && !world.serves_on => {
                 "HTTP/1.1 503 Draining\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n".to_owned()
             }
             _ => "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok".to_owned(),
@@ -255,7 +257,12 @@
 impl Fleet {
     /// One without processes, whose load ends after this time.
     fn new(lasts: Duration) -> Fleet {
-        let world = Arc::<World>::default();
+        Fleet::in_world(World::default(), lasts)
+    }
+
+    /// The same with these stand-ins.
+    fn in_world(world: World, lasts: Duration) -> Fleet {
+        let world = Arc::new(world);
         let endpoints: Vec<SocketAddr> =
             (0..ENDPOINTS).map(|number| endpoint(world.clone(), number)).collect();
         let known = list(&endpoints, 1);
@@ -363,3 +370,17 @@
     finished.assert_nothing_late(drained);
     finished.assert_all_answered();
 }
+
+/// Guards against an endpoint that drains and goes on serving: that it took a request does not show that it is not listed as
+/// draining.
+#[test]
+fn an_endpoint_that_drains_and_serves_on_gets_no_late_request() {
+    let serves_on = World { serves_on: true, ..World::default() };
+    let mut fleet = Fleet::in_world(serves_on, Duration::from_millis(12_000));
+    fleet.start(&["running0", "running1", "running2"]);
+    sleep(1500 * MS);
+    let drained = fleet.world.drain();
+    let finished = fleet.finish();
+    finished.assert_nothing_late(drained);
+    finished.assert_all_answered();
+}
