--- a/review/standin/src/bin/trial_drains.rs
+++ b/review/standin/src/bin/trial_drains.rs
@@ -1,7 +1,8 @@
 //! Trial, not a case. MODE=push: lists are pushed; the sidecar is killed, an endpoint begins to drain, discovery goes down so
 //! that the agent is silent, and the sidecar starts again with the list that it last had. MODE=ask: discovery refuses every
-//! call for 14 s, and an endpoint that still answers is removed. Broken if the endpoint gets requests after the change counts
-//! as told.
+//! call for 14 s, and an endpoint that still answers is removed. MODE=move: a new configuration moves discovery to an address
+//! that refuses every call for 14 s and that has removed an endpoint which still answers. Broken if the endpoint gets requests
+//! after the change counts as told.
 
 use review_standin::*;
 use std::io::{self, Write};
@@ -14,6 +15,8 @@
 const GRACE: Duration = Duration::from_millis(300);
 /// A change counts as told at the latest after this.
 const TOLD: Duration = Duration::from_secs(6);
+/// What discovery has to tell after a move counts as told this long after SIGHUP.
+const TOLD_AFTER_MOVE: Duration = Duration::from_secs(4);
 const PLAN: Class =
     Class { name: "plan-trip", effect: "read_like", scope: "all", window_ms: 5_000, deadline_ms: 3000 };
 
@@ -44,8 +47,10 @@
             group: number / 4,
         });
     }
-    let pushed = std::env::var("MODE").as_deref() != Ok("ask");
+    let mode = std::env::var("MODE").unwrap_or("push".to_owned());
+    let pushed = mode == "push";
     let discovery = Discovery::start(record.clone(), &endpoints)?;
+    let moved = Discovery::start(record.clone(), &endpoints)?;
     let settings = Settings {
         classes: vec![PLAN],
         zones: vec!["plateau"],
@@ -71,6 +76,17 @@
         sidecar.wait_until_up(Duration::from_secs(30))?;
         load = Load::start(&record, &[sidecar.listen], 40.0, 59, |_| PLAN);
         thread::sleep(Duration::from_secs(3));
+    } else if mode == "move" {
+        load = Load::start(&record, &[sidecar.listen], 40.0, 59, |_| PLAN);
+        thread::sleep(Duration::from_secs(5));
+        moved.set_status("s0", "removed");
+        if run.trouble {
+            moved.set_mode(Mode::Refuses(Duration::from_millis(500)));
+        }
+        sidecar.reload(moved.address, &known, &settings)?;
+        bound = Instant::now() + TOLD_AFTER_MOVE + GRACE;
+        thread::sleep(Duration::from_secs(14));
+        moved.set_mode(Mode::Answers);
     } else {
         load = Load::start(&record, &[sidecar.listen], 40.0, 59, |_| PLAN);
         thread::sleep(Duration::from_secs(5));
