Classes: while versions overlap, a retry needs the permission of each of them

Cause: ClassRegistry::find picked one of the two versions, by the kind of the effect alone; with idempotency_key on both sides the tie went to the former version, whatever its scope and window. So the wider scope, or the longer key-ttl-ns, was in force for 4 s. Change: Effect::intersection, DedupScope::intersection (with ZoneAndCell, which no settings name) and RequestClass::intersection. The registry holds, beside the versions, a class with what all versions of the last 4 s permit, also where there are more than two, and one for requests without a key; find gives that one. The module's random rules test plays the new scope.

--- a/crates/module/src/interface.rs
+++ b/crates/module/src/interface.rs
@@ -41,6 +41,25 @@
     Zone,
     /// Endpoints in the same cell as that endpoint.
     Cell,
+    /// Endpoints in the same zone and the same cell as that endpoint. Settings do not name it: it is what [`Zone`] and
+    /// [`Cell`] have in common while one replaces the other.
+    ///
+    /// [`Zone`]: DedupScope::Zone
+    /// [`Cell`]: DedupScope::Cell
+    ZoneAndCell,
+}
+
+impl DedupScope {
+    /// Returns true if an endpoint discards the duplicate of a request that another one may have run, given whether the two
+    /// are in the same zone and in the same cell.
+    pub fn covers(self, same_zone: bool, same_cell: bool) -> bool {
+        match self {
+            DedupScope::All => true,
+            DedupScope::Zone => same_zone,
+            DedupScope::Cell => same_cell,
+            DedupScope::ZoneAndCell => same_zone && same_cell,
+        }
+    }
 }
 
 /// The effect of running a request more than once.
--- a/crates/module/src/lib.rs
+++ b/crates/module/src/lib.rs
@@ -40,6 +40,7 @@
 #![deny(missing_docs)]
 
 mod interface;
+mod intersection;
 mod policy;
 
 pub use interface::*;
--- a/crates/module/src/policy/round_robin.rs
+++ b/crates/module/src/policy/round_robin.rs
@@ -74,12 +74,11 @@
         // do.
         if let (Effect::Keyed { scope, window }, Some(first)) = (class.effect, request.may_have_run()) {
             let ran = self.endpoint(first.endpoint).map(|ran| &ran.entry);
-            let same = match scope {
-                DedupScope::All => true,
-                DedupScope::Zone => ran.is_some_and(|ran| endpoint.entry.zone == ran.zone),
-                DedupScope::Cell => ran.is_some_and(|ran| endpoint.entry.cell == ran.cell),
-            };
-            if !same || now.saturating_sub(first.sent) + self.settings.host_tick * 2 >= window {
+            let same_zone = ran.is_some_and(|ran| endpoint.entry.zone == ran.zone);
+            let same_cell = ran.is_some_and(|ran| endpoint.entry.cell == ran.cell);
+            if !scope.covers(same_zone, same_cell)
+                || now.saturating_sub(first.sent) + self.settings.host_tick * 2 >= window
+            {
                 return false;
             }
         }
--- a/crates/module/tests/rules.rs
+++ b/crates/module/tests/rules.rs
@@ -91,6 +91,7 @@
                                     DedupScope::All => true,
                                     DedupScope::Zone => a.zone == b.zone,
                                     DedupScope::Cell => a.cell == b.cell,
+                                    DedupScope::ZoneAndCell => a.zone == b.zone && a.cell == b.cell,
                                 };
                                 let after = now - first.at;
                                 assert!(in_scope, "keyed request retried outside its dedup scope");
@@ -272,6 +273,7 @@
             class(Effect::Keyed { scope: DedupScope::All, window }),
             class(Effect::Keyed { scope: DedupScope::Zone, window }),
             class(Effect::Keyed { scope: DedupScope::Cell, window }),
+            class(Effect::Keyed { scope: DedupScope::ZoneAndCell, window }),
         ];
         settings.limits.hedging = rng.bool();
         settings.limits.probes = rng.bool();
--- a/crates/sidecar/src/classes.rs
+++ b/crates/sidecar/src/classes.rs
@@ -39,39 +39,60 @@
     }
 }
 
-/// Rank of an effect: the higher, the less a request may be run again.
-fn strictness(effect: Effect) -> u8 {
-    match effect {
-        Effect::Safe => 0,
-        Effect::Keyed { .. } => 1,
-        Effect::Unsafe => 2,
-    }
+/// What the class of a slot applies to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Role {
+    /// The class as one version of the settings states it.
+    Configured,
+    /// While versions overlap: what all of them permit.
+    Overlap,
+    /// While versions overlap and one of them requires keys: requests without a key.
+    OverlapWithoutKey,
 }
 
 #[derive(Debug, Clone)]
 struct Slot {
     name: String,
     class: RequestClass,
-    /// Time at which the class was removed from the settings.
-    retired: Option<Instant>,
-    /// Applies to requests without a key while a class changes between safe and keyed; no form matches it
-    /// directly.
-    interim: bool,
+    role: Role,
+    /// Position in the order in which slots were filled.
+    sequence: u64,
+    /// End of the time for which the class applies to new requests; `None` while it is configured.
+    valid_until: Option<Instant>,
     /// Number of open requests with this class number.
     held: usize,
 }
 
+impl Slot {
+    fn is_valid(&self, now: Instant) -> bool {
+        self.valid_until.is_none_or(|until| now < until)
+    }
+
+    fn is_reusable(&self, now: Instant) -> bool {
+        self.held == 0 && !self.is_valid(now)
+    }
+
+    fn is_current(&self) -> bool {
+        self.role == Role::Configured && self.valid_until.is_none()
+    }
+}
+
 /// All classes by number. A number stands for one class as long as any request has it.
 #[derive(Debug, Default)]
 pub struct ClassRegistry {
     slots: Vec<Slot>,
+    next_sequence: u64,
 }
 
 impl ClassRegistry {
     /// Creates a registry of these classes, numbered in their order.
     pub fn new(names: &[String], classes: &[RequestClass]) -> ClassRegistry {
-        let slots = names.iter().zip(classes).map(|(name, class)| Slot::of(name, class.clone()));
-        ClassRegistry { slots: slots.collect() }
+        let mut registry = ClassRegistry::default();
+        for (name, class) in names.iter().zip(classes) {
+            let slot = registry.new_slot(name, class.clone(), Role::Configured, None);
+            registry.slots.push(slot);
+        }
+        registry
     }
 
     /// Puts new settings in force: these classes apply from `now` on. Returns, for each number, the one that it
@@ -82,35 +103,65 @@
         classes: &[RequestClass],
         now: Instant,
     ) -> Vec<Option<ClassId>> {
-        let before = self.slots.len();
-        let mut continued: Vec<_> = (0..before).map(|number| Some(ClassId(number))).collect();
-        for (number, slot) in self.slots.iter_mut().enumerate().filter(|(_, s)| s.retired.is_none()) {
-            let stays = names.iter().zip(classes).any(|(n, c)| *n == slot.name && *c == slot.class);
-            if !stays {
-                slot.retired = Some(now);
+        let mut continued: Vec<_> = (0..self.slots.len()).map(|number| Some(ClassId(number))).collect();
+        for slot in self.slots.iter_mut().filter(|slot| slot.is_current()) {
+            let unchanged = names.iter().zip(classes).any(|(n, c)| *n == slot.name && *c == slot.class);
+            if !unchanged {
+                slot.valid_until = Some(now + CHANGE_OVERLAP);
             }
-            continued[number] = Some(ClassId(number));
         }
         for (name, class) in names.iter().zip(classes) {
-            if self.slots.iter().any(|s| s.retired.is_none() && s.name == *name) {
-                continue;
-            }
-            let previous =
-                self.slots.iter().rposition(|s| s.name == *name && s.retired == Some(now) && !s.interim);
-            let previous_effect = previous.map(|previous| self.slots[previous].class.effect);
-            self.insert(Slot::of(name, class.clone()), previous.map(ClassId), &mut continued, now);
-            let strictness_sum = previous_effect.map(|effect| strictness(effect) + strictness(class.effect));
-            if strictness_sum == Some(1) {
-                // A request without a key must not be retried while its class requires keys, so it is treated
-                // as unsafe.
-                let class = RequestClass { effect: Effect::Unsafe, ..class.clone() };
-                let slot = Slot { retired: Some(now), interim: true, ..Slot::of(name, class) };
-                self.insert(slot, previous.map(ClassId), &mut continued, now);
+            if !self.slots.iter().any(|slot| slot.is_current() && slot.name == *name) {
+                self.add_version(name, class, now, &mut continued);
             }
         }
         continued
     }
 
+    /// Adds a class that is new or has changed, and what it has in common with the versions that it overlaps.
+    fn add_version(
+        &mut self,
+        name: &str,
+        class: &RequestClass,
+        now: Instant,
+        continued: &mut Vec<Option<ClassId>>,
+    ) {
+        let previous = self.newest_version(name.as_bytes(), now);
+        let overlapped: Vec<RequestClass> =
+            self.versions(name.as_bytes(), now).map(|(_, slot)| slot.class.clone()).collect();
+        // The former overlaps do not take this version into account.
+        for slot in self.slots.iter_mut().filter(|slot| slot.name == name && slot.role != Role::Configured) {
+            slot.valid_until = Some(now);
+        }
+        let slot = self.new_slot(name, class.clone(), Role::Configured, None);
+        self.insert(slot, previous, continued, now);
+        let common = overlapped.iter().fold(class.clone(), |common, version| version.intersection(&common));
+        let until = Some(now + CHANGE_OVERLAP);
+        let some_take_no_key = overlapped.iter().chain([class]).any(|version| version.effect == Effect::Safe);
+        if some_take_no_key && matches!(common.effect, Effect::Keyed { .. }) {
+            // A request without a key must not be retried while a version requires keys.
+            let class = RequestClass { effect: Effect::Unsafe, ..common.clone() };
+            let slot = self.new_slot(name, class, Role::OverlapWithoutKey, until);
+            self.insert(slot, previous, continued, now);
+        }
+        if common != *class {
+            let slot = self.new_slot(name, common, Role::Overlap, until);
+            self.insert(slot, previous, continued, now);
+        }
+    }
+
+    fn new_slot(
+        &mut self,
+        name: &str,
+        class: RequestClass,
+        role: Role,
+        valid_until: Option<Instant>,
+    ) -> Slot {
+        let sequence = self.next_sequence;
+        self.next_sequence += 1;
+        Slot { name: name.to_owned(), class, role, sequence, valid_until, held: 0 }
+    }
+
     /// Stores a class under a number that nothing refers to any more, or under a new one.
     fn insert(
         &mut self,
@@ -119,8 +170,7 @@
         continued: &mut Vec<Option<ClassId>>,
         now: Instant,
     ) {
-        let reusable = |s: &Slot| s.held == 0 && s.retired.is_some_and(|at| now >= at + CHANGE_OVERLAP);
-        match self.slots.iter().position(reusable) {
+        match self.slots.iter().position(|slot| slot.is_reusable(now)) {
             Some(free) => (self.slots[free], continued[free]) = (slot, continues),
             None => {
                 self.slots.push(slot);
@@ -129,20 +179,31 @@
         }
     }
 
-    /// The number of a request's class, by name and form of the request.
+    /// The slots with this name that apply to requests that arrive now.
+    fn valid_slots(&self, name: &[u8], now: Instant) -> impl Iterator<Item = (ClassId, &Slot)> {
+        let numbered = self.slots.iter().enumerate().map(|(number, slot)| (ClassId(number), slot));
+        numbered.filter(move |(_, slot)| slot.name.as_bytes() == name && slot.is_valid(now))
+    }
+
+    /// The versions of a class that overlap now.
+    fn versions(&self, name: &[u8], now: Instant) -> impl Iterator<Item = (ClassId, &Slot)> {
+        self.valid_slots(name, now).filter(|(_, slot)| slot.role == Role::Configured)
+    }
+
+    fn newest_version(&self, name: &[u8], now: Instant) -> Option<ClassId> {
+        self.versions(name, now).max_by_key(|(_, slot)| slot.sequence).map(|(number, _)| number)
+    }
+
+    /// The number of a request's class, by name and form of the request. The form has to be that of one of the
+    /// versions that overlap now; the class is what all of them permit.
     pub fn find(&self, name: &[u8], form: RequestForm, now: Instant) -> Option<ClassId> {
-        let with_name = || self.slots.iter().enumerate().filter(|(_, s)| s.name.as_bytes() == name);
-        let current = |s: &Slot| s.retired.is_none_or(|at| now < at + CHANGE_OVERLAP);
-        let valid = || with_name().filter(|(_, s)| current(s) && !s.interim);
-        if !valid().any(|(_, s)| RequestForm::expected(s.class.effect) == form) {
+        if !self.versions(name, now).any(|(_, slot)| RequestForm::expected(slot.class.effect) == form) {
             return None;
         }
-        let strictest = valid().max_by_key(|(_, s)| (strictness(s.class.effect), s.retired));
-        let strictest = strictest.filter(|(_, s)| {
-            s.class.effect == Effect::Unsafe || RequestForm::expected(s.class.effect) == form
-        });
-        let found = strictest.or_else(|| with_name().find(|(_, s)| s.interim && current(s)));
-        found.map(|(number, _)| ClassId(number))
+        let overlap = |role| self.valid_slots(name, now).find(|(_, slot)| slot.role == role);
+        let without_key = (form == RequestForm::Plain).then(|| overlap(Role::OverlapWithoutKey)).flatten();
+        let overlap = without_key.or_else(|| overlap(Role::Overlap)).map(|(number, _)| number);
+        overlap.or_else(|| self.newest_version(name, now))
     }
 
     /// Marks the number as used by one more request, until [`ClassRegistry::release`].
@@ -165,9 +226,3 @@
         self.slots.iter().map(|slot| slot.name.clone()).collect()
     }
 }
-
-impl Slot {
-    fn of(name: &str, class: RequestClass) -> Slot {
-        Slot { name: name.to_owned(), class, retired: None, interim: false, held: 0 }
-    }
-}
