Classes: while versions overlap, the shorter deadline and target latency hold

Callers would see: for 4 s after SIGHUP a request is planned for the deadline of one version only (deadline-ns, slo-ns, aim-stretch, late-value), the former one, also where the new one is shorter. Change: RequestClass::intersection takes the shorter times and the lower late value; the value of a request limits nothing and is that of the newer version.

--- a/crates/module/src/intersection.rs
+++ b/crates/module/src/intersection.rs
@@ -29,8 +29,16 @@
 }
 
 impl RequestClass {
-    /// The class whose effect both versions permit; the rest is that of the newer version.
+    /// The class whose effect and times both versions permit. Its value is that of the newer version, as a value limits
+    /// nothing.
     pub fn intersection(&self, newer: &RequestClass) -> RequestClass {
-        RequestClass { effect: self.effect.intersection(newer.effect), ..newer.clone() }
+        RequestClass {
+            target_latency: self.target_latency.min(newer.target_latency),
+            target_latency_work_factor: self.target_latency_work_factor.min(newer.target_latency_work_factor),
+            deadline: self.deadline.min(newer.deadline),
+            effect: self.effect.intersection(newer.effect),
+            value: newer.value,
+            late_value: self.late_value.min(newer.late_value),
+        }
     }
 }
--- a/crates/sidecar/tests/class_changes.rs
+++ b/crates/sidecar/tests/class_changes.rs
@@ -152,6 +152,34 @@
     }
 }
 
+/// A reload that shortens a class's times: requests planned for longer than one of the versions gives.
+#[test]
+fn during_a_change_the_shorter_times_of_both_versions_hold() {
+    let (names, now) = (["c".to_owned()], Tokio.now());
+    let long = RequestClass {
+        target_latency: Duration::from_secs(2),
+        target_latency_work_factor: 3.0,
+        deadline: Duration::from_secs(5),
+        late_value: 0.5,
+        ..class_with(Effect::Safe)
+    };
+    let short = RequestClass {
+        target_latency: Duration::from_secs(1),
+        target_latency_work_factor: 0.0,
+        deadline: Duration::from_secs(3),
+        late_value: 0.0,
+        ..class_with(Effect::Safe)
+    };
+    for (old, new) in [(&long, &short), (&short, &long)] {
+        let mut registry = ClassRegistry::new(&names, std::slice::from_ref(old));
+        registry.apply_settings(&names, std::slice::from_ref(new), now);
+        let class_at =
+            |at| registry.find(b"c", RequestForm::Plain, at).map(|id| registry.classes()[id.0].clone());
+        assert_eq!(class_at(now).as_ref(), Some(&short));
+        assert_eq!(class_at(now + CHANGE_OVERLAP).as_ref(), Some(new));
+    }
+}
+
 /// A version of the class that was in the settings for some time.
 struct Version {
     effect: Effect,
