Settings: for 4 s after a change, the limits and rules of every version hold

Callers would see, right after SIGHUP: more attempts than the version still in use permits, idle connections kept for longer than their endpoints keep them, and, with SIGTERM soon after, open requests cut by a SIGKILL that comes by the former, shorter deadlines (new settings are in use after 1.2 s). Cause: the same class of fault as with request classes: apply_file put the new version in force alone, at once. Change: SettingsVersions (no I/O) keeps former versions for the time of the overlap; the module, the pool and the lifecycle get what all have in common: Settings::intersection for limits and rules, the shorter idle and connect times, the shortest of the longest deadlines. When a version expires the settings are applied again. Prices, report fields, discovery mode, weights and tenants limit nothing and are the newest. Ruled out: fewer attempts and other tighter limits go on applying at once (loopback, an_open_request_keeps_its_class_when_settings_change). Not exact: two retry budgets with different windows. Tests: settings_changes.rs, both failed before (3 attempts where 1 is permitted; answers due after the earliest SIGKILL); module/tests/intersection.rs goes through each field.

--- a/crates/module/src/interface.rs
+++ b/crates/module/src/interface.rs
@@ -255,6 +255,11 @@
 impl std::error::Error for SettingsError {}
 
 impl Settings {
+    /// The longest deadline of any class.
+    pub fn max_deadline(&self) -> Duration {
+        self.classes.iter().map(|class| class.deadline).max().unwrap_or_default()
+    }
+
     /// Checks that all values are in range.
     pub fn validate(&self) -> Result<(), SettingsError> {
         let invalid = |field, reason| Err(SettingsError { field, reason });
--- a/crates/module/src/intersection.rs
+++ b/crates/module/src/intersection.rs
@@ -42,3 +42,64 @@
         }
     }
 }
+
+impl Limits {
+    /// The actions that both versions permit.
+    pub fn intersection(&self, other: &Limits) -> Limits {
+        Limits {
+            cancel: self.cancel && other.cancel,
+            probes: self.probes && other.probes,
+            hedging: self.hedging && other.hedging,
+            max_attempts: self.max_attempts.min(other.max_attempts),
+            retry_after: self.retry_after && other.retry_after,
+            max_retry_after: self.max_retry_after.min(other.max_retry_after),
+        }
+    }
+}
+
+impl RetryBudget {
+    /// A budget that permits no more than either of the two while traffic is steady. Both count in windows of their own;
+    /// the longer one is kept.
+    pub fn intersection(self, other: RetryBudget) -> RetryBudget {
+        RetryBudget {
+            min_retries: self.min_retries.min(other.min_retries),
+            ratio: self.ratio.min(other.ratio),
+            window: self.window.max(other.window),
+        }
+    }
+}
+
+impl Rules {
+    /// The rules that keep both versions.
+    pub fn intersection(&self, other: &Rules) -> Rules {
+        Rules {
+            cold_capacity: self.cold_capacity.min(other.cold_capacity),
+            ramp: self.ramp.max(other.ramp),
+            overload_factor: self.overload_factor.min(other.overload_factor),
+            overload_after: self.overload_after.min(other.overload_after),
+            drain_grace: self.drain_grace.min(other.drain_grace),
+            resubscribe_within: self.resubscribe_within.min(other.resubscribe_within),
+            close_idle_within: self.close_idle_within.into_iter().chain(other.close_idle_within).min(),
+            retry_budget: self
+                .retry_budget
+                .into_iter()
+                .chain(other.retry_budget)
+                .reduce(RetryBudget::intersection),
+            use_removed_endpoints: self.use_removed_endpoints && other.use_removed_endpoints,
+        }
+    }
+}
+
+impl Settings {
+    /// The settings whose limits and rules both versions permit. All else is that of the newer version: it limits nothing,
+    /// or, as with classes, its parts have to be matched by name first.
+    pub fn intersection(&self, newer: &Settings) -> Settings {
+        Settings {
+            // Slow start divides what a cold endpoint may get by this number.
+            instances: self.instances.max(newer.instances),
+            limits: self.limits.intersection(&newer.limits),
+            rules: self.rules.intersection(&newer.rules),
+            ..newer.clone()
+        }
+    }
+}
--- a/crates/module/src/policy.rs
+++ b/crates/module/src/policy.rs
@@ -101,8 +101,7 @@
     /// Creates a balancer without endpoints; its first event must be [`Event::Start`].
     pub fn new(settings: Settings, seed: u64) -> Result<Balancer, SettingsError> {
         settings.validate()?;
-        let longest = settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
-        let time_constant = longest.max(settings.rules.ramp);
+        let time_constant = settings.max_deadline().max(settings.rules.ramp);
         let mean_target = settings.classes.iter().map(|c| c.target_latency.as_secs_f64()).sum::<f64>()
             / settings.classes.len() as f64;
         let rate = Rate::new(secs(2.0 * mean_target), Time::ZERO);
--- a/crates/sidecar/src/config.rs
+++ b/crates/sidecar/src/config.rs
@@ -75,7 +75,7 @@
 
     /// The longest deadline of any request class.
     pub fn max_deadline(&self) -> Duration {
-        self.settings.classes.iter().map(|class| class.deadline).max().unwrap_or_default()
+        self.settings.max_deadline()
     }
 
     /// Reads the file again. Its address of discovery takes precedence over `LB_DISCOVERY`: the environment, fixed at the
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod reload;
 pub mod request_stats;
 pub mod requests;
+pub mod settings_versions;
 pub mod sockets;
 pub mod start_clock;
 pub mod upload;
@@ -50,6 +51,7 @@
 use crate::pool::ConnectionPool;
 use crate::reload::ConfigReloader;
 use crate::requests::RequestDriver;
+use crate::settings_versions::{SettingsVersion, SettingsVersions};
 use cometcroft::{Event, ListScope};
 use cometcroft_platform::{Platform, Task};
 use std::cell::RefCell;
@@ -126,7 +128,8 @@
     let transport =
         wrap(PooledTransport { exchanger, fields: load_report_fields.clone(), fleet: fleet.clone() });
     let class_registry = ClassRegistry::new(&config.network.classes, &config.settings.classes);
-    let file_settings = fleet.as_ref().map(|_| (config.settings.clone(), config.network.clone()));
+    let first_version =
+        SettingsVersion { settings: config.settings.clone(), network: config.network.clone() };
     let driver = RequestDriver::new(transport, config.settings, seed, CLOCK_ORIGIN, counters.clone())
         .map_err(io::Error::other)?;
     counters.request_stats.set_class_names(&config.network.classes);
@@ -194,7 +197,7 @@
         lifecycle: lifecycle.clone(),
         fields: load_report_fields,
         fleet: fleet.clone(),
-        file_settings: RefCell::new(file_settings),
+        versions: RefCell::new(SettingsVersions::new(first_version)),
     };
     let plan = fleet.as_ref().and_then(|fleet| fleet.plan());
     if let Some(plan) = plan {
@@ -210,8 +213,9 @@
             tokio::select! {
                 biased;
                 config = reloader.next_config() => active_settings.apply_file(config),
+                () = active_settings.version_expired() => active_settings.apply(),
                 () = fleet_changed(&active_settings.fleet) => {
-                    active_settings.apply_fleet();
+                    active_settings.apply();
                     // Without this pause the module would get new settings for each of hundreds of sidecars that join
                     // within a second.
                     update_platform.sleep(MIN_FLEET_UPDATE_INTERVAL).await;
