Zones: a zone keeps its number when the settings name other zones

Cause: a zone was numbered by its index in `dcs`. set_zones replaced the names, endpoints listed before kept the old index and those listed after got the new one, so two zones passed for one, until the next complete list. All zones that the settings do not name shared one number as well, and so did endpoints without a zone. Change: ZoneNumbers numbers names as they appear and never anew; entries and the sidecar's own zone use it. An endpoint whose zone is not known is in nobody's zone. Ruled out: renumbering the held entries on SIGHUP, as requests under way hold attempts under the old numbers. Test: settings_changes, endpoints_listed_before_and_after_a_zone_is_removed_are_not_of_one_zone; before it failed with attempts at endpoints [0, 1] of two zones.

--- a/crates/emulator/benches/day.rs
+++ b/crates/emulator/benches/day.rs
@@ -113,7 +113,7 @@
     group.throughput(Throughput::Bytes(text.len() as u64));
     group.bench_function("read", |b| b.iter(|| read(black_box(&text)).records.len()));
     let (zones, hour) = (vec!["plateau".to_owned()], Duration::from_secs(3600));
-    let endpoints = EndpointTable::new(zones, hour, hour);
+    let endpoints = EndpointTable::new(&zones, hour, hour);
     group.bench_function("read and taken over", |b| {
         b.iter(|| endpoints.apply(read(black_box(&text)), None).update().map(|update| update.entries.len()));
     });
--- a/crates/sidecar/src/active_settings.rs
+++ b/crates/sidecar/src/active_settings.rs
@@ -32,8 +32,8 @@
 impl<C: HttpTransport> ActiveSettings<C> {
     /// Applies a new configuration file, in one step: nothing is awaited in between.
     pub fn apply_file(&self, config: Config) {
-        let Config { settings, network, load_report_fields: fields, .. } = config;
-        self.endpoints.set_zones(network.zones.clone());
+        let Config { mut settings, network, load_report_fields: fields, .. } = config;
+        self.endpoints.zones().apply_to_settings(&mut settings, &network.zones);
         self.fields.replace(fields.into());
         let now = self.driver.platform().now();
         self.versions.borrow_mut().replace(SettingsVersion { settings, network }, now);
--- a/crates/sidecar/src/endpoint_table.rs
+++ b/crates/sidecar/src/endpoint_table.rs
@@ -9,6 +9,7 @@
 use crate::endpoint_list::{EndpointList, EndpointRecord};
 use crate::freshness::{Evidence, Freshness, NoEvidence};
 use crate::start_clock::StartClock;
+use crate::zones::ZoneNumbers;
 use cometcroft::*;
 use cometcroft_plan::WeightAdjustment;
 use cometcroft_settings::hash;
@@ -52,7 +53,7 @@
     /// The next id. Ids are never reused: otherwise attempts still in flight at a removed endpoint would be attributed to
     /// its successor.
     next_id: Cell<u32>,
-    zones: RefCell<Vec<String>>,
+    zones: ZoneNumbers,
     staleness: Staleness,
     freshness: Freshness,
     discovery_connections: DiscoveryConnections,
@@ -90,8 +91,8 @@
 }
 
 impl EndpointTable {
-    /// Creates an empty table. `origin` is the current time of the decision module's clock, `unix` the current Unix time.
-    pub fn new(zones: Vec<String>, origin: Time, unix: Duration) -> EndpointTable {
+    /// Creates an empty table; `zones` get their numbers in this order. `origin` is the current time of the decision module's clock, `unix` the current Unix time.
+    pub fn new(zones: &[String], origin: Time, unix: Duration) -> EndpointTable {
         EndpointTable {
             adjuster: RefCell::new(None),
             entries: RefCell::default(),
@@ -99,7 +100,7 @@
             excluded_by_newer: RefCell::default(),
             version: Cell::new(None),
             next_id: Cell::new(0),
-            zones: RefCell::new(zones),
+            zones: ZoneNumbers::new(zones),
             staleness: Staleness::default(),
             freshness: Freshness::default(),
             discovery_connections: DiscoveryConnections::default(),
@@ -107,9 +108,9 @@
         }
     }
 
-    /// Sets the names of the zones after a change of the settings.
-    pub fn set_zones(&self, zones: Vec<String>) {
-        self.zones.replace(zones);
+    /// The numbers of the zones, in which the entries state theirs.
+    pub fn zones(&self) -> &ZoneNumbers {
+        &self.zones
     }
 
     /// Compares the decision module's clock with the wall clock, in which discovery states start times.
@@ -319,13 +320,12 @@
 
     /// Converts a record to the decision module's types.
     fn entry(&self, endpoint: EndpointId, record: &EndpointRecord, started: Option<Time>) -> EndpointEntry {
-        let zones = self.zones.borrow();
-        let zone = record.zone.as_ref().and_then(|zone| zones.iter().position(|z| z == zone));
+        let zone = record.zone.as_ref().map(|zone| self.zones.number_of(zone));
         EndpointEntry {
             endpoint,
             key: hash(&record.name),
             cell: CellId(record.group),
-            zone: ZoneId(zone.unwrap_or(zones.len())),
+            zone: zone.unwrap_or_else(|| unknown_zone(endpoint)),
             started,
             state: record.state,
             weight: record.weight,
@@ -339,9 +339,8 @@
 
     fn adjustment(&self, name: &str, entry: &EndpointEntry) -> WeightAdjustment {
         let adjuster = self.adjuster.borrow();
-        let zones = self.zones.borrow();
-        let zone = zones.get(entry.zone.0).map_or("", String::as_str);
-        adjuster.as_ref().map_or(WeightAdjustment::Unchanged, |adjuster| adjuster(name, zone, entry.cell.0))
+        let zone = self.zones.name_of(entry.zone);
+        adjuster.as_ref().map_or(WeightAdjustment::Unchanged, |adjuster| adjuster(name, &zone, entry.cell.0))
     }
 
     /// Looks up the plan's adjustments again and returns the entries whose adjustment has changed.
@@ -361,16 +360,21 @@
 
     /// All known endpoints: name, zone, group, and whether discovery lists them as ready.
     pub fn listed(&self) -> Vec<(String, String, usize, bool)> {
-        let (ids, entries, zones) = (self.ids.borrow(), self.entries.borrow(), self.zones.borrow());
+        let (ids, entries) = (self.ids.borrow(), self.entries.borrow());
         let summary = |(name, id): (&String, &EndpointId)| {
             let listed = &entries.get(id)?.listed;
-            let zone = zones.get(listed.zone.0).cloned().unwrap_or_default();
+            let zone = self.zones.name_of(listed.zone);
             Some((name.clone(), zone, listed.cell.0, listed.state == EndpointState::Ready))
         };
         ids.iter().filter_map(summary).collect()
     }
 }
 
+/// The zone of an endpoint whose zone is not known: it is not that of any other endpoint.
+fn unknown_zone(endpoint: EndpointId) -> ZoneId {
+    ZoneId(usize::MAX - endpoint.0 as usize)
+}
+
 /// Applies the plan's adjustment to an entry. It never makes the entry available where discovery does not.
 fn adjusted(mut entry: EndpointEntry, adjustment: WeightAdjustment) -> EndpointEntry {
     match adjustment {
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod sockets;
 pub mod start_clock;
 pub mod upload;
+pub mod zones;
 
 use crate::active_settings::ActiveSettings;
 use crate::attempt::PooledTransport;
@@ -121,7 +122,8 @@
         counters.clone(),
         fleet.clone(),
     );
-    let endpoints = Rc::new(EndpointTable::new(config.network.zones.clone(), CLOCK_ORIGIN, platform.unix()));
+    let endpoints = Rc::new(EndpointTable::new(&config.network.zones, CLOCK_ORIGIN, platform.unix()));
+    endpoints.zones().apply_to_settings(&mut config.settings, &config.network.zones);
     let exchanger =
         Exchanger { pool: pool.clone(), endpoints: endpoints.clone(), counters: counters.clone() };
     let load_report_fields = Rc::new(RefCell::new(config.load_report_fields.into()));
--- a/crates/sidecar/tests/crossings.rs
+++ b/crates/sidecar/tests/crossings.rs
@@ -746,7 +746,7 @@
         let listener = || TcpListener::bind("127.0.0.1:0");
         let (endpoint, discovery) = (listener().await.expect("a port"), listener().await.expect("a port"));
         let address = endpoint.local_addr().expect("bound");
-        let endpoints = EndpointTable::new(vec!["a".into()], Duration::ZERO, Tokio.unix());
+        let endpoints = EndpointTable::new(&["a".into()], Duration::ZERO, Tokio.unix());
         let list = |status: &str| {
             let text = format!(
                 r#"{{"index":1,"snapshot":true,"endpoints":[{{"name":"s","address":"{address}","zone":"a","status":"{status}"}}]}}"#
--- a/crates/sidecar/tests/parts.rs
+++ b/crates/sidecar/tests/parts.rs
@@ -205,7 +205,7 @@
 
 #[test]
 fn the_endpoint_table_reports_drains_moves_and_starts() {
-    let endpoints = EndpointTable::new(vec!["a".into(), "b".into()], Duration::from_secs(3600), Tokio.unix());
+    let endpoints = EndpointTable::new(&["a".into(), "b".into()], Duration::from_secs(3600), Tokio.unix());
     let entry = |name: &str, port: u16, status: &str| {
         json!({"name": name, "address": format!("127.0.0.1:{port}"), "zone": "b", "type": "m", "group": 3,
                "status": status, "weight": 1.5, "since_ms": 0})
@@ -258,7 +258,7 @@
         entry + list[entry..].find(",\"zone\"").expect("a field behind the status")
     };
     for cut in 0..=list.len() {
-        let endpoints = EndpointTable::new(vec![], Duration::ZERO, Tokio.unix());
+        let endpoints = EndpointTable::new(&[], Duration::ZERO, Tokio.unix());
         apply(&endpoints, &known).expect("a list");
         let excluded = apply_truncated(&endpoints, &list.as_bytes()[..cut]);
         let expected = usize::from(cut >= status_end("a")) + usize::from(cut >= status_end("c"));
@@ -278,7 +278,7 @@
 #[test]
 fn exclusions_apply_to_endpoints_that_are_not_known_yet() {
     for status in ["draining", "removed"] {
-        let endpoints = EndpointTable::new(vec![], Duration::ZERO, Tokio.unix());
+        let endpoints = EndpointTable::new(&[], Duration::ZERO, Tokio.unix());
         let part = format!(
             r#"{{"index":30,"snapshot":true,"endpoints":[{{"name":"a","address":"127.0.0.1:7","status":"{status}"}},"#
         );
@@ -302,7 +302,7 @@
     let update = json!({"index": 2, "snapshot": false, "endpoints": [drains, up("b")]});
     let pretty = serde_json::to_string_pretty(&update).expect("text");
     let fresh = || {
-        let endpoints = EndpointTable::new(vec![], Duration::ZERO, Tokio.unix());
+        let endpoints = EndpointTable::new(&[], Duration::ZERO, Tokio.unix());
         apply(&endpoints, &known).expect("a list");
         endpoints
     };
@@ -320,7 +320,7 @@
 fn the_plan_excludes_endpoints_and_returns_them_to_the_state_in_discovery() {
     use cometcroft_plan::WeightAdjustment;
     use std::{cell::Cell, rc::Rc};
-    let endpoints = EndpointTable::new(vec!["z".into()], Duration::ZERO, Tokio.unix());
+    let endpoints = EndpointTable::new(&["z".into()], Duration::ZERO, Tokio.unix());
     let adjustment = Rc::new(Cell::new(WeightAdjustment::Excluded));
     let adjuster = adjustment.clone();
     endpoints.set_weight_adjuster(Box::new(move |name, zone, _| {
@@ -348,7 +348,7 @@
 
 #[test]
 fn the_endpoint_table_holds_only_what_is_listed() {
-    let endpoints = EndpointTable::new(vec![], Duration::ZERO, Tokio.unix());
+    let endpoints = EndpointTable::new(&[], Duration::ZERO, Tokio.unix());
     let entry =
         |n: u32, status: &str| json!({"name": n.to_string(), "address": "127.0.0.1:1", "status": status});
     for n in 0..1000u32 {
@@ -362,7 +362,7 @@
 
 #[test]
 fn the_start_time_of_an_endpoint_does_not_change() {
-    let endpoints = EndpointTable::new(vec![], Duration::from_secs(3600), Tokio.unix());
+    let endpoints = EndpointTable::new(&[], Duration::from_secs(3600), Tokio.unix());
     let unix = Tokio.unix();
     let list = json!({"index": 1, "snapshot": true, "endpoints": [{"name": "x", "address": "127.0.0.1:1",
         "zone": "?", "status": "up", "since_ms": unix.as_millis() as u64}]});
--- a/crates/sidecar/tests/settings_changes.rs
+++ b/crates/sidecar/tests/settings_changes.rs
@@ -8,17 +8,23 @@
 use cometcroft_sidecar::config::Config;
 use common::in_process::{
     BOOK_REQUEST, Sidecar, TestConnection, accept, wait_until_reusable, with_confirmed_sidecar_config,
+    with_sidecar_config,
 };
+use std::cell::RefCell;
+use std::rc::Rc;
 use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::task::spawn_local;
 
-/// Reloads the usual configuration with `from` replaced by `to`.
-async fn reload_with(sidecar: &Sidecar, from: &str, to: &str) {
+/// Reloads the usual configuration with this change.
+async fn reload(sidecar: &Sidecar, change: impl FnOnce(String) -> String) {
     let known = r#"{"index":1,"snapshot":true,"endpoints":[]}"#;
     let discovery = sidecar.discovery.local_addr().expect("local address").to_string();
-    let usual = common::config_json(&sidecar.address, &discovery, known);
-    assert!(usual.contains(from), "{from}");
-    let config = Config::parse(&usual.replace(from, to), |_| None);
-    sidecar.reloader.reload(config, &sidecar.counters).expect("a valid configuration");
+    let text = change(common::config_json(&sidecar.address, &discovery, known));
+    sidecar
+        .reloader
+        .reload(Config::parse(&text, |_| None), &sidecar.counters)
+        .expect("a valid configuration");
     wait_until_reusable().await;
 }
 
@@ -48,7 +54,7 @@
     let one_attempt = |text: String| text.replace("\"max-attempts\":3", "\"max-attempts\":1");
     with_confirmed_sidecar_config(one_attempt, |sidecar| async move {
         assert_eq!(attempts_of_rejected_request(&sidecar).await, 1);
-        reload_with(&sidecar, "\"max-attempts\":3", "\"max-attempts\":3").await;
+        reload(&sidecar, |text| text).await;
         assert_eq!(attempts_of_rejected_request(&sidecar).await, 1, "the former limit still holds");
         Tokio.sleep(CHANGE_OVERLAP).await;
         assert_eq!(attempts_of_rejected_request(&sidecar).await, 3, "the new limit alone");
@@ -61,7 +67,7 @@
     let short_deadlines =
         |text: String| text.replace("\"deadline-ns\":3000000000", "\"deadline-ns\":500000000");
     with_confirmed_sidecar_config(short_deadlines, |sidecar| async move {
-        reload_with(&sidecar, "\"deadline-ns\":3000000000", "\"deadline-ns\":3000000000").await;
+        reload(&sidecar, |text| text).await;
         let sigterm = Tokio.now();
         sidecar.lifecycle.begin_shutdown();
         let earliest_sigkill = sigterm + Duration::from_millis(500) + Duration::from_millis(700);
@@ -69,3 +75,68 @@
         assert!(all_answered.is_some_and(|at| at < earliest_sigkill), "open requests are lost at SIGKILL");
     });
 }
+
+const PAY_REQUEST: &str = "POST /pay HTTP/1.1\r\nX-Call-Id: 3\r\nX-Budget: 30000m\r\nIdempotency-Key: k3\r\nContent-Length: 2\r\n\r\nhi";
+
+/// Answers each call to discovery after 50 ms with the current text of `list`.
+fn serve_lists(sidecar: &Sidecar, list: Rc<RefCell<String>>) {
+    let discovery = socket2::SockRef::from(&sidecar.discovery).try_clone().expect("a socket");
+    let discovery = TcpListener::from_std(discovery.into()).expect("a listener");
+    spawn_local(async move {
+        loop {
+            let mut call = accept(&discovery).await;
+            while !call.receive().await.is_empty() {
+                Tokio.sleep(Duration::from_millis(50)).await;
+                let list = list.borrow().clone();
+                call.send(&format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len())).await;
+            }
+        }
+    });
+}
+
+/// Sends a keyed request, resets the connection of each attempt once it was received, and returns the numbers of the
+/// endpoints that got one, in order.
+async fn endpoints_of_lost_attempts(sidecar: &Sidecar, endpoints: [&TcpListener; 2]) -> Vec<usize> {
+    let mut client = TestConnection::to(sidecar).await;
+    client.send(PAY_REQUEST).await;
+    let mut tried = Vec::new();
+    loop {
+        let (number, mut endpoint) = tokio::select! {
+            response = client.receive() => {
+                assert!(response.starts_with("HTTP/1.1 502"), "{response}");
+                return tried;
+            }
+            endpoint = accept(endpoints[0]) => (0, endpoint),
+            endpoint = accept(endpoints[1]) => (1, endpoint),
+        };
+        endpoint.receive().await;
+        endpoint.reset();
+        tried.push(number);
+    }
+}
+
+/// A reload that removes a zone shifts the index of the others: an endpoint listed before it and one of another zone listed
+/// after it pass for one zone, and a keyed request runs in both.
+#[test]
+fn endpoints_listed_before_and_after_a_zone_is_removed_are_not_of_one_zone() {
+    let by_zone = |text: String| text.replace("\"dedup-scope\":\"all\"", "\"dedup-scope\":\"zone\"");
+    let zones = |text: String, zones: &str| text.replace("\"dcs\":[\"a\",\"b\"]", zones);
+    let before =
+        |text| zones(by_zone(text), r#""dcs":["removed","a","c"]"#).replace("\"zone\":0", "\"zone\":1");
+    with_sidecar_config(before, |sidecar| async move {
+        let unchanged = r#"{"index":1,"snapshot":false,"endpoints":[]}"#;
+        let list = Rc::new(RefCell::new(unchanged.to_owned()));
+        serve_lists(&sidecar, list.clone());
+        reload(&sidecar, |text| zones(by_zone(text), r#""dcs":["a","c"]"#)).await;
+        let other = TcpListener::bind("127.0.0.1:0").await.expect("bind a port");
+        let address = other.local_addr().expect("local address");
+        let entry = format!(r#"{{"name":"t","address":"{address}","zone":"c","group":0,"status":"up"}}"#);
+        list.replace(format!(r#"{{"index":2,"snapshot":false,"endpoints":[{entry}]}}"#));
+        Tokio.sleep(Duration::from_millis(500)).await;
+        let tried = endpoints_of_lost_attempts(&sidecar, [&sidecar.endpoint, &other]).await;
+        assert!(
+            !tried.is_empty() && tried.iter().all(|number| *number == tried[0]),
+            "in two zones: {tried:?}"
+        );
+    });
+}
