Endpoint table: a record without zone and group says nothing of either

Callers would see: a keyed request that may have run at an endpoint of group 3 is sent to group 0 and runs there too, when a drain or removal of that endpoint arrives as a record that names no group (one cut off in the middle, or a removal with name and status alone). An absence was taken for a fact. Change: the group of a record is optional. A known endpoint keeps its zone and group; one whose zone or group was never named shares it with nobody.

--- a/crates/sidecar/src/endpoint_list/record.rs
+++ b/crates/sidecar/src/endpoint_list/record.rs
@@ -18,8 +18,8 @@
     pub state: EndpointState,
     /// The name of the endpoint's zone.
     pub zone: Option<String>,
-    /// The endpoint's group.
-    pub group: usize,
+    /// The number of the endpoint's group.
+    pub group: Option<usize>,
     /// The endpoint's registered capacity weight.
     pub weight: f64,
     /// When the endpoint last started, as Unix time in milliseconds; 0 stands for long ago.
@@ -110,7 +110,7 @@
             address,
             state,
             zone: raw.zone,
-            group: raw.group.unwrap_or(0) as usize,
+            group: raw.group.map(|group| group as usize),
             weight: raw.weight.unwrap_or(1.0),
             since_ms: raw.since_ms.unwrap_or(0),
         })
--- a/crates/sidecar/src/endpoint_table.rs
+++ b/crates/sidecar/src/endpoint_table.rs
@@ -294,7 +294,7 @@
             let same = entries.get(&id).filter(|entry| entry.since_ms == record.since_ms);
             let started = same
                 .map_or_else(|| self.start_clock.start_time(record.since_ms), |entry| entry.listed.started);
-            let mut entry = self.entry(id, record, started);
+            let mut entry = self.entry(id, record, started, entries.get(&id));
             if excluded && entry.state == EndpointState::Ready {
                 entry.state = EndpointState::Draining;
             }
@@ -318,14 +318,23 @@
         applied
     }
 
-    /// Converts a record to the decision module's types.
-    fn entry(&self, endpoint: EndpointId, record: &EndpointRecord, started: Option<Time>) -> EndpointEntry {
-        let zone = record.zone.as_ref().map(|zone| self.zones.number_of(zone));
+    /// Converts a record to the decision module's types. A record that does not name the zone or the group, as one that has
+    /// arrived in part, leaves those of the `known` entry as they are.
+    fn entry(
+        &self,
+        endpoint: EndpointId,
+        record: &EndpointRecord,
+        started: Option<Time>,
+        known: Option<&Entry>,
+    ) -> EndpointEntry {
+        let named_zone = record.zone.as_ref().map(|zone| self.zones.number_of(zone));
+        let known_zone = known.map(|known| known.listed.zone);
+        let known_cell = known.map(|known| known.listed.cell);
         EndpointEntry {
             endpoint,
             key: hash(&record.name),
-            cell: CellId(record.group),
-            zone: zone.unwrap_or_else(|| unknown_zone(endpoint)),
+            cell: record.group.map(CellId).or(known_cell).unwrap_or_else(|| unknown_cell(endpoint)),
+            zone: named_zone.or(known_zone).unwrap_or_else(|| unknown_zone(endpoint)),
             started,
             state: record.state,
             weight: record.weight,
@@ -375,6 +384,11 @@
     ZoneId(usize::MAX - endpoint.0 as usize)
 }
 
+/// The cell of an endpoint whose group is not known: it is not that of any other endpoint.
+fn unknown_cell(endpoint: EndpointId) -> CellId {
+    CellId(usize::MAX - endpoint.0 as usize)
+}
+
 /// Applies the plan's adjustment to an entry. It never makes the entry available where discovery does not.
 fn adjusted(mut entry: EndpointEntry, adjustment: WeightAdjustment) -> EndpointEntry {
     match adjustment {
