Module: a retry needs the zone or cell of the list before and of the list after

Callers would see: a keyed request runs in two cells, when a list gives its endpoint (or the one of the retry) another cell or zone between the first attempt and the retry. Cause: only the current list was asked. It does not show in which cell the endpoint was when the request ran, nor that the next endpoint has only just joined that cell; of several attempts that may have run only the first was compared. Change: an endpoint remembers when a list last moved it; a retry goes only where neither endpoint has moved since, for every attempt that may have run. The rule has a file of its own, policy/deduplication.rs. Tests: random_events_break_no_rule failed before ("keyed request retried outside its dedup scope"), and so did scenarios, a_keyed_request_is_not_retried_at_endpoints_that_share_its_cell_by_one_list_only.

--- a/crates/module/src/policy.rs
+++ b/crates/module/src/policy.rs
@@ -11,6 +11,7 @@
 //! | [`subset`] | the subset of endpoints that this sidecar uses, and the share of cross-zone requests |
 //! | [`snapshot`] | ranking and effective weights of the endpoints in rotation |
 //! | [`round_robin`] | the endpoint that an attempt goes to |
+//! | [`deduplication`] | endpoints that discard duplicates of a keyed request |
 //! | [`list_validity`] | endpoints that may be used while the endpoint list is not confirmed |
 //! | [`slow_start`] | load limit of endpoints that have just started |
 //! | [`request`] | the attempts of a request and its final response |
@@ -22,6 +23,7 @@
 //! | [`rate`] | exponentially decayed rates |
 
 mod admission;
+mod deduplication;
 mod health;
 mod hedging;
 mod list_validity;
--- a/crates/module/src/policy/round_robin.rs
+++ b/crates/module/src/policy/round_robin.rs
@@ -73,12 +73,8 @@
         // A keyed request that may have run is retried only at endpoints that discard duplicates, while they
         // do.
         if let (Effect::Keyed { scope, window }, Some(first)) = (class.effect, request.may_have_run()) {
-            let ran = self.endpoint(first.endpoint).map(|ran| &ran.entry);
-            let same_zone = ran.is_some_and(|ran| endpoint.entry.zone == ran.zone);
-            let same_cell = ran.is_some_and(|ran| endpoint.entry.cell == ran.cell);
-            if !scope.covers(same_zone, same_cell)
-                || now.saturating_sub(first.sent) + self.settings.host_tick * 2 >= window
-            {
+            let in_window = now.saturating_sub(first.sent) + self.settings.host_tick * 2 < window;
+            if !in_window || !self.discards_duplicates(id, endpoint, request, scope) {
                 return false;
             }
         }
--- a/crates/module/src/policy/table.rs
+++ b/crates/module/src/policy/table.rs
@@ -12,6 +12,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Endpoint {
     pub(super) entry: EndpointEntry,
+    /// Time at which a list last gave the endpoint another zone or cell.
+    moved: Option<Time>,
     /// Listed as draining, and not as ready since.
     pub(super) drained: bool,
     /// The last reported load and its time.
@@ -69,6 +71,11 @@
         }
     }
 
+    /// Returns true if a list has given the endpoint another zone or cell at or after this time.
+    pub(super) fn moved_after(&self, time: Time) -> bool {
+        self.moved.is_some_and(|moved| moved >= time)
+    }
+
     /// Returns true if the endpoint accepts no new connections and the existing ones are in use.
     pub(super) fn unreachable(&self, now: Time) -> bool {
         self.connect_backoff_until > now && self.in_flight >= self.connections
@@ -229,9 +236,12 @@
         let endpoint = self.table.get_or_insert_with(entry.endpoint, new);
         let key_changed = endpoint.entry.key != entry.key;
         let drained = endpoint.drained && entry.state == EndpointState::Removed;
+        let moves = (endpoint.entry.zone, endpoint.entry.cell) != (entry.zone, entry.cell);
+        let moved = if moves { Some(now) } else { endpoint.moved };
         if endpoint.entry.started != entry.started {
             *endpoint = new();
         }
+        endpoint.moved = moved;
         endpoint.drained = entry.state == EndpointState::Draining || drained;
         endpoint.entry = entry.clone();
         if !entry.weight.is_finite() || entry.weight <= 0.0 {
--- a/crates/module/tests/rules.rs
+++ b/crates/module/tests/rules.rs
@@ -11,6 +11,8 @@
     at: Time,
     in_flight: bool,
     never_ran: bool,
+    /// The endpoint list at that time.
+    listed: Vec<EndpointEntry>,
 }
 
 struct OpenRequest {
@@ -83,16 +85,23 @@
                             Effect::Safe => {}
                             Effect::Unsafe => panic!("unsafe request retried though it may have run"),
                             Effect::Keyed { scope, window } => {
-                                let (a, b) = (
-                                    entry_of(&self.entries, first.endpoint),
-                                    entry_of(&self.entries, endpoint),
-                                );
-                                let in_scope = match scope {
-                                    DedupScope::All => true,
-                                    DedupScope::Zone => a.zone == b.zone,
-                                    DedupScope::Cell => a.cell == b.cell,
-                                    DedupScope::ZoneAndCell => a.zone == b.zone && a.cell == b.cell,
-                                };
+                                // By the list of each attempt and by the current one: between the two, an endpoint
+                                // may have got another zone or cell.
+                                let in_scope = scope == DedupScope::All
+                                    || open.attempts.iter().filter(|s| !s.never_ran).all(|ran| {
+                                        [&ran.listed, &self.entries].into_iter().all(|listed| {
+                                            let (a, b) =
+                                                (entry_of(listed, ran.endpoint), entry_of(listed, endpoint));
+                                            match scope {
+                                                DedupScope::All => true,
+                                                DedupScope::Zone => a.zone == b.zone,
+                                                DedupScope::Cell => a.cell == b.cell,
+                                                DedupScope::ZoneAndCell => {
+                                                    a.zone == b.zone && a.cell == b.cell
+                                                }
+                                            }
+                                        })
+                                    });
                                 let after = now - first.at;
                                 assert!(in_scope, "keyed request retried outside its dedup scope");
                                 assert!(
@@ -115,7 +124,14 @@
                             );
                         }
                     }
-                    open.attempts.push(SentAttempt { endpoint, at: now, in_flight: true, never_ran: false });
+                    let listed = self.entries.clone();
+                    open.attempts.push(SentAttempt {
+                        endpoint,
+                        at: now,
+                        in_flight: true,
+                        never_ran: false,
+                        listed,
+                    });
                 }
                 Action::Reject { request, .. } => {
                     let open = self.finish(request);
@@ -223,8 +239,12 @@
                     EndpointState::Removed,
                 ][self.rng.usize(0..4)];
                 let started = if self.rng.bool() { self.entries[n].started } else { Some(self.harness.now) };
+                let moves = self.rng.u32(0..4) == 0;
                 let entry = &mut self.entries[n];
                 (entry.state, entry.started) = (state, started);
+                if moves {
+                    (entry.zone, entry.cell) = (ZoneId(self.rng.usize(0..3)), CellId(self.rng.usize(0..2)));
+                }
                 let (entry, now) = (entry.clone(), self.harness.now);
                 if state == EndpointState::Ready {
                     self.excluded_at.remove(&entry.endpoint);
--- a/crates/module/tests/scenarios.rs
+++ b/crates/module/tests/scenarios.rs
@@ -131,6 +131,25 @@
     assert!(failed(&actions) && sent_to(&actions).is_none());
 }
 
+/// A list that moves an endpoint to another cell while a request is out: the retry follows the new cell, whose endpoints have
+/// not seen the key, or reaches an endpoint that has only just joined the cell.
+#[test]
+fn a_keyed_request_is_not_retried_at_endpoints_that_share_its_cell_by_one_list_only() {
+    let settings = Settings { classes: vec![class(keyed(DedupScope::Cell))], ..Settings::example() };
+    let in_cell = |id: u32, cell| EndpointEntry { cell: CellId(cell), ..entry(id) };
+    for moves_first in [true, false] {
+        let mut h = Harness::new(settings.clone(), vec![in_cell(0, 0), in_cell(1, 1)]);
+        let (id, actions) = h.request(0, ms(9000));
+        let first = sent_to(&actions).expect("an endpoint is picked");
+        let other = EndpointId(1 - first.0);
+        let moved =
+            if moves_first { in_cell(first.0, other.0 as usize) } else { in_cell(other.0, first.0 as usize) };
+        h.handle(Event::EndpointList { scope: ListScope::Changes, entries: vec![moved] });
+        let retried = sent_to(&h.end_attempt(id, 0, first, Outcome::Error, ms(20)));
+        assert_ne!(retried, Some(other), "they share a cell by the later list only");
+    }
+}
+
 #[test]
 fn an_endpoint_that_fails_fast_is_ejected_despite_its_short_queue_and_recovers() {
     let mut h = Harness::new(Settings::example(), (0..6).map(entry).collect());
