Frontend: an upload keeps the class that its head arrived under

Cause: the class was looked up a second time when the body was complete, after the overlap of the versions. Change: the class is looked up once, at the head, and held from then on. Test: settings_changes, an_upload_that_outlasts_the_overlap_keeps_the_class_of_its_head; before, it was answered 400.

--- a/crates/sidecar/src/frontend/request.rs
+++ b/crates/sidecar/src/frontend/request.rs
@@ -55,11 +55,14 @@
             return Ok(Some(pipelined_since.unwrap_or_else(|| self.platform.now())));
         }
         let mut body_timeout = ReadTimeout::new(since);
+        // The class is that of the time at which the head arrived, however long the body takes. An invalid request is
+        // rejected before its body is awaited.
+        let class = match self.class_for(&request, upload.is_some() || !request.body.is_empty()) {
+            Ok(class) => class,
+            Err(error) => return self.reject_invalid(stream, connection, error.into()).await,
+        };
+        let _class_hold = ClassHold::take(self, class);
         if let Some(upload) = &upload {
-            // An invalid request is rejected before its body is awaited.
-            if let Err(error) = self.class_for(&request, true) {
-                return self.reject_invalid(stream, connection, error.into()).await;
-            }
             upload.push(std::mem::take(&mut request.body));
             while upload.reserve_buffer() {
                 match self.read_body(stream, connection, upload, &mut body_timeout).await? {
@@ -78,16 +81,17 @@
             .as_ref()
             .map(|upload| upload.expected_time_left(body_timeout.waited()))
             .unwrap_or_default();
-        let registered =
-            self.new_request(request, upload, since, body_time).and_then(|(new_request, deadline)| {
+        let registered = self.new_request(request, class, upload, (since, body_time)).and_then(
+            |(new_request, deadline)| {
                 let id = new_request.payload.request.headers.single(CALL_ID)?.cloned().unwrap_or_default();
                 Ok((OpenRequestId::take(self, id)?, new_request, deadline))
-            });
+            },
+        );
         let (id, new_request, deadline) = match registered {
             Ok(registered) => registered,
             Err(error) => return self.reject_invalid(stream, connection, error.into()).await,
         };
-        let (class, payload) = (new_request.class, new_request.payload.clone());
+        let payload = new_request.payload.clone();
         // Released with the response.
         let _concurrency_guard = match self.reserve_budget(&payload) {
             Ok(guard) => guard,
@@ -104,7 +108,6 @@
         let mut _open_count = complete.then(|| self.counters.request_stats.begin_request());
         let time_budget = payload.request.time_budget().unwrap_or_default();
         let mut response_due = None;
-        let _class_hold = ClassHold::take(self, class);
         let response = {
             let serving = self.driver.serve(new_request, deadline);
             tokio::pin!(serving);
@@ -266,9 +269,9 @@
     fn new_request(
         &self,
         request: Request,
+        class: ClassId,
         upload: Option<Upload>,
-        since: Instant,
-        body_time: Duration,
+        (since, body_time): (Instant, Duration),
     ) -> Result<(NewRequest<Rc<ForwardedRequest>>, Instant), ParseError> {
         let id = request.headers.single(CALL_ID)?;
         if id.is_none_or(|id| {
@@ -276,7 +279,6 @@
         }) {
             return Err(ParseError::Malformed);
         }
-        let class = self.class_for(&request, upload.is_some() || !request.body.is_empty())?;
         let caller = request.headers.single("x-caller")?;
         let tenant =
             caller.and_then(|caller| self.tenants.borrow().iter().position(|t| t.as_bytes() == caller));
--- a/crates/sidecar/tests/settings_changes.rs
+++ b/crates/sidecar/tests/settings_changes.rs
@@ -140,3 +140,32 @@
         );
     });
 }
+
+/// A reload that removes a class while a body of that class arrives: a request under way keeps its class, but was answered 400
+/// when its body was complete.
+#[test]
+fn an_upload_that_outlasts_the_overlap_keeps_the_class_of_its_head() {
+    const LENGTH: usize = 100_000;
+    with_confirmed_sidecar_config(
+        |text| text,
+        |sidecar| async move {
+            let mut client = TestConnection::to(&sidecar).await;
+            let head = "POST /pay HTTP/1.1\r\nX-Call-Id: 4\r\nX-Budget: 30000m\r\nIdempotency-Key: k4\r\n";
+            client.send(&format!("{head}Content-Length: {LENGTH}\r\n\r\n")).await;
+            wait_until_reusable().await;
+            reload(&sidecar, |text| text.replace("\"pay\"", "\"other\"")).await;
+            let pieces = 5;
+            for _ in 0..pieces {
+                Tokio.sleep(CHANGE_OVERLAP / 4).await;
+                client.send(&"x".repeat(LENGTH / pieces)).await;
+            }
+            let mut endpoint = tokio::select! {
+                response = client.receive() => panic!("answered without an attempt: {response}"),
+                endpoint = accept(&sidecar.endpoint) => endpoint,
+            };
+            assert!(endpoint.receive().await.starts_with("POST /pay"));
+            endpoint.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await;
+            assert!(client.receive().await.starts_with("HTTP/1.1 200"));
+        },
+    );
+}
