Reload: every accepted file is applied, in order

Callers would see: after two SIGHUPs close together, the limits and classes of the first file do not bind at any time, although it was accepted and counted and others have taken it into use. Cause: ConfigReloader held one pending file, and a second one replaced it. Change: pending files are queued; each becomes a version and binds for the time of the overlap. Test: parts, every_reloaded_file_is_applied_in_its_order; before, the first of the two was missing.

--- a/crates/sidecar/src/reload.rs
+++ b/crates/sidecar/src/reload.rs
@@ -5,6 +5,7 @@
 use crate::discovery::Source;
 use serde_json::Value;
 use std::cell::RefCell;
+use std::collections::VecDeque;
 use std::rc::Rc;
 use tokio::sync::Notify;
 
@@ -14,7 +15,8 @@
     /// The address and mode of discovery.
     pub discovery_source: Rc<Source>,
     in_force: RefCell<Rc<Value>>,
-    next: RefCell<Option<Config>>,
+    /// Configurations that are not applied yet, in their order.
+    pending: RefCell<VecDeque<Config>>,
     available: Notify,
 }
 
@@ -24,7 +26,7 @@
         Rc::new(ConfigReloader {
             discovery_source: Source::new(config.discovery, &config.settings),
             in_force: RefCell::new(config.document.clone()),
-            next: RefCell::default(),
+            pending: RefCell::default(),
             available: Notify::new(),
         })
     }
@@ -45,7 +47,7 @@
                 count(&counters.reloads);
                 self.in_force.replace(config.document.clone());
                 self.discovery_source.move_to(config.discovery, &config.settings);
-                self.next.replace(Some(config));
+                self.pending.borrow_mut().push_back(config);
                 self.available.notify_one();
                 Ok(())
             }
@@ -56,10 +58,11 @@
         }
     }
 
-    /// Waits for the next configuration to apply.
+    /// Waits for the next configuration to apply. None is left out: each binds for a while after its replacement.
     pub async fn next_config(&self) -> Config {
         loop {
-            if let Some(config) = self.next.take() {
+            let next = self.pending.borrow_mut().pop_front();
+            if let Some(config) = next {
                 return config;
             }
             self.available.notified().await;
--- a/crates/sidecar/tests/parts.rs
+++ b/crates/sidecar/tests/parts.rs
@@ -417,6 +417,24 @@
     assert_eq!(Config::load(none).expect_err("unset").field, "LB_CONFIG");
 }
 
+/// Two reloads before the first was applied: what only the first one forbids was not forbidden at any time.
+#[test]
+fn every_reloaded_file_is_applied_in_its_order() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build();
+    runtime.expect("build a runtime").block_on(async {
+        let text = common::config_json("127.0.0.1:1", "127.0.0.1:2", "null");
+        let parse = |text: &str| Config::parse(text, |_| None);
+        let (reloader, counters) = (ConfigReloader::new(&parse(&text).expect("valid")), Counters::default());
+        for attempts in ["1", "5"] {
+            let changed = text.replace("\"max-attempts\":3", &format!("\"max-attempts\":{attempts}"));
+            reloader.reload(parse(&changed), &counters).expect("complete");
+        }
+        for attempts in [1, 5] {
+            assert_eq!(reloader.next_config().await.settings.limits.max_attempts, attempts);
+        }
+    });
+}
+
 #[test]
 fn a_reloaded_file_is_applied_completely_or_not_at_all() {
     let good = common::config_json("127.0.0.1:0", "127.0.0.1:1", "null");
