Frontend: a request that has begun is not ended to make room

Cause: Frontend::evict ended connections with a request incomplete for 250 ms before those that rest, and handle_connection closed an evicted connection without a response in the middle of a request. Change: a waiting connection has a state (silent, resting, head, body). Room is made by heads over 2.1 s, with 408, then silent new connections, then the one that has rested longest; a request within its time is never ended. Ruled out: keeping the 250 ms as a second choice, as it would still cut requests once no connection rests.

--- a/crates/sidecar/src/frontend/connection.rs
+++ b/crates/sidecar/src/frontend/connection.rs
@@ -1,7 +1,7 @@
 //! Reads requests from client connections, and limits the time that clients have for them.
 
 use super::response::close_gracefully;
-use super::{ConnectionSlot, Frontend, HttpTransport, StreamOf, WaitingConnection};
+use super::{ConnectionSlot, Frontend, HttpTransport, StreamOf, WaitingConnection, WaitingState};
 use crate::counters::count;
 use crate::http::server::{Connection, Status, Step};
 use crate::lifecycle::LifecycleState;
@@ -52,10 +52,14 @@
                     } else {
                         incomplete_since.unwrap_or(now) + REQUEST_TIMEOUT
                     };
-                    match self
-                        .read(&mut stream, &mut connection, incomplete_since, until, close_position)
-                        .await?
-                    {
+                    let state = match (in_body, is_idle) {
+                        (true, _) => WaitingState::Body,
+                        (false, false) => WaitingState::Head(since),
+                        (false, true) if is_first => WaitingState::Silent(connected),
+                        (false, true) => WaitingState::Resting,
+                    };
+                    let waits = Waits { state, incomplete_since, until, close_position };
+                    match self.read(&mut stream, &mut connection, waits).await? {
                         Read::Bytes(bytes) => {
                             last_read = self.platform.now();
                             if is_idle {
@@ -76,7 +80,7 @@
                         // A request may arrive at this moment. It is not served any more, but a close over
                         // unread bytes would be a reset, and the client could lose its last response.
                         Read::ShuttingDown => return self.close(&mut stream, &connection).await,
-                        Read::Evicted => {
+                        Read::Evicted if is_idle => {
                             return if slot.lingers() {
                                 self.close(&mut stream, &connection).await
                             } else {
@@ -84,7 +88,7 @@
                             };
                         }
                         Read::TimedOut if is_idle => return self.close(&mut stream, &connection).await,
-                        Read::TimedOut => {
+                        Read::Evicted | Read::TimedOut => {
                             let status = Status::RequestTimeout;
                             self.respond(&mut stream, &mut connection, status, "", b"", true).await?;
                         }
@@ -122,20 +126,17 @@
         close_gracefully(&self.platform, stream, connection.upload_cut_short()).await
     }
 
-    /// Reads more of a request that has been incomplete since `incomplete_since`, or waits on an idle
-    /// connection for a request that may never come.
+    /// Reads more of a request, or waits on an idle connection for a request that may never come.
     async fn read(
         &self,
         stream: &mut StreamOf<T>,
         connection: &mut Connection,
-        incomplete_since: Option<Instant>,
-        until: Instant,
-        close_position: f64,
+        Waits { state, incomplete_since, until, close_position }: Waits,
     ) -> io::Result<Read> {
         let is_idle = connection.is_idle();
         let ticket = self.next_ticket.replace(self.next_ticket.get() + 1);
         let wake = Rc::new(Notify::new());
-        self.waiting.borrow_mut().insert(ticket, WaitingConnection { wake: wake.clone(), incomplete_since });
+        self.waiting.borrow_mut().insert(ticket, WaitingConnection { wake: wake.clone(), state });
         // A connection that was accepted just now may carry a request that has not been read.
         let grace = incomplete_since.map(|since| since + NEW_CONNECTION_GRACE);
         let shutting_down = |state: &LifecycleState| {
@@ -156,6 +157,17 @@
     }
 }
 
+/// What a connection without an open request waits for, and until when.
+struct Waits {
+    state: WaitingState,
+    /// Since when a complete request has been awaited; `None` if a request has been served and the connection may be idle.
+    incomplete_since: Option<Instant>,
+    /// Time at which an incomplete request is answered with 408.
+    until: Instant,
+    /// Position of the connection, between 0 and 1, in the period in which idle ones are closed.
+    close_position: f64,
+}
+
 /// Result of a read on a client connection.
 enum Read {
     /// This many bytes arrived.
--- a/crates/sidecar/src/frontend/mod.rs
+++ b/crates/sidecar/src/frontend/mod.rs
@@ -32,8 +32,11 @@
 const FINAL_ACCEPT_MAX: Duration = Duration::from_millis(300);
 /// Delay after a failed accept.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(5);
-/// A connection that has sent an incomplete request for this long is the first to be evicted.
-const SLOW_REQUEST_AGE: Duration = Duration::from_millis(250);
+/// A connection on which nothing has arrived for this long since it was opened may be evicted before those that have
+/// been served.
+const SILENT_AGE: Duration = Duration::from_millis(250);
+/// Time for which a client may send the head of a request before it is evicted: 2 s by the protocol, and a margin.
+const MAX_HEAD_TIME: Duration = Duration::from_millis(2100);
 
 /// A transport that forwards HTTP requests; the frontend works with any implementation of it.
 pub trait HttpTransport: Transport<Payload = Rc<ForwardedRequest>, Response = EndpointResponse> {}
@@ -69,9 +72,20 @@
 /// A connection without an open request.
 struct WaitingConnection {
     wake: Rc<Notify>,
-    /// Since when a complete request has been awaited; `None` if a request has been served and the connection
-    /// may be idle.
-    incomplete_since: Option<Instant>,
+    state: WaitingState,
+}
+
+/// What has arrived on a connection without an open request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum WaitingState {
+    /// Nothing since it was opened at this time.
+    Silent(Instant),
+    /// Nothing since its last request was served.
+    Resting,
+    /// Part of a request's head, the first of it at this time.
+    Head(Instant),
+    /// A request's head, and its body in part.
+    Body,
 }
 
 impl<T: HttpTransport> Frontend<T> {
@@ -189,18 +203,20 @@
     }
 
     /// Evicts the most dispensable connection. Otherwise, hundreds of clients that send nothing, or never
-    /// complete a request, would keep out others; so those go first, then the one that has been idle longest.
+    /// complete a request, would keep out others; so those go first, then the one that has been idle longest. A request
+    /// that has begun within its time is never evicted: its client may have sent the rest of it and awaits a response.
     fn evict(&self) {
         let mut waiting = self.waiting.borrow_mut();
-        let slow = |connection: &WaitingConnection| {
-            connection.incomplete_since.is_some_and(|since| self.platform.since(since) >= SLOW_REQUEST_AGE)
-        };
-        let oldest = |matches: &dyn Fn(&WaitingConnection) -> bool| {
-            waiting.iter().find(|(_, connection)| matches(connection)).map(|(&ticket, _)| ticket)
+        let older = |since, age| self.platform.since(since) >= age;
+        let oldest = |matches: &dyn Fn(WaitingState) -> bool| {
+            waiting.iter().find(|(_, connection)| matches(connection.state)).map(|(&ticket, _)| ticket)
         };
-        let ticket = oldest(&slow)
-            .or_else(|| oldest(&|connection| connection.incomplete_since.is_none()))
-            .or_else(|| oldest(&|_| true));
+        let overdue = |state| matches!(state, WaitingState::Head(since) if older(since, MAX_HEAD_TIME));
+        let silent = |state| matches!(state, WaitingState::Silent(since) if older(since, SILENT_AGE));
+        let ticket = oldest(&overdue)
+            .or_else(|| oldest(&silent))
+            .or_else(|| oldest(&|state| state == WaitingState::Resting))
+            .or_else(|| oldest(&|state| matches!(state, WaitingState::Silent(_))));
         if let Some(waiting) = ticket.and_then(|ticket| waiting.remove(&ticket)) {
             count(&self.counters.frontend_evicted);
             waiting.wake.notify_one();
