Responses: a slow client that reads without a pause keeps its long response

Cause: a write may take 10 s, and the system reports room in a full send buffer of 4 MB only once a large part of it is free. The limit was on the buffer and not on what the client takes. Ruled out: a longer limit, which would keep clients that take nothing; a fixed send buffer, which ends its tuning. Change: client connections hold at most 128 KiB of unsent bytes (TCP_NOTSENT_LOWAT, Stream::limit_unsent), so writes go on as the client reads. Without support by the system nothing changes.

--- a/crates/emulator/src/platform.rs
+++ b/crates/emulator/src/platform.rs
@@ -240,6 +240,10 @@
         Ok(())
     }
 
+    fn limit_unsent(&self, _bytes: u32) -> io::Result<()> {
+        Ok(())
+    }
+
     fn is_idle(&self) -> bool {
         // Danger: a sidecar that saw that something had come would hold requests back until it has read that.
         let is_hidden = !self.hears_late.is_zero() && self.peer == Peer::Discovery;
--- a/crates/hollow/src/counted.rs
+++ b/crates/hollow/src/counted.rs
@@ -199,6 +199,10 @@
         self.inner.set_nodelay()
     }
 
+    fn limit_unsent(&self, bytes: u32) -> io::Result<()> {
+        self.inner.limit_unsent(bytes)
+    }
+
     fn is_idle(&self) -> bool {
         self.inner.is_idle()
     }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -42,6 +42,10 @@
 pub trait Stream: AsyncRead + AsyncWrite + Unpin + Debug + 'static {
     /// Sends small writes without delay (`TCP_NODELAY`).
     fn set_nodelay(&self) -> io::Result<()>;
+    /// Limits the bytes that the system accepts for the other side before it can send them (`TCP_NOTSENT_LOWAT`, see
+    /// `tcp(7)`). A write then makes progress as the other side reads; without the limit, it waits until the other side has
+    /// read a large part of the send buffer. Fails where the system does not support it.
+    fn limit_unsent(&self, bytes: u32) -> io::Result<()>;
     /// True if the socket currently has neither unread bytes nor an end of stream nor an error.
     fn is_idle(&self) -> bool;
     /// True if the other side has closed its sending direction or the connection has failed, even if earlier bytes are
--- a/crates/platform/src/tokio_rt.rs
+++ b/crates/platform/src/tokio_rt.rs
@@ -40,6 +40,10 @@
         self.get_ref().set_nodelay(true)
     }
 
+    fn limit_unsent(&self, bytes: u32) -> io::Result<()> {
+        socket2::SockRef::from(self.get_ref()).set_tcp_notsent_lowat(bytes)
+    }
+
     fn is_idle(&self) -> bool {
         // The runtime may not have polled the socket yet, so its readiness can be out of date: peek at the socket.
         let mut byte = [MaybeUninit::uninit()];
--- a/crates/platformfaults/src/injected.rs
+++ b/crates/platformfaults/src/injected.rs
@@ -50,6 +50,11 @@
         stream.set_nodelay()
     }
 
+    pub(crate) fn limit_unsent(&self, bytes: u32) -> io::Result<()> {
+        let Some(stream) = &self.stream else { return Err(Errno::INVAL.into()) };
+        stream.limit_unsent(bytes)
+    }
+
     pub(crate) fn is_idle(&self) -> bool {
         self.stream.as_ref().is_some_and(Stream::is_idle)
     }
--- a/crates/platformfaults/src/stream.rs
+++ b/crates/platformfaults/src/stream.rs
@@ -37,6 +37,10 @@
         self.0.get_ref().set_nodelay()
     }
 
+    fn limit_unsent(&self, bytes: u32) -> io::Result<()> {
+        self.0.get_ref().limit_unsent(bytes)
+    }
+
     fn is_idle(&self) -> bool {
         self.0.get_ref().is_idle()
     }
--- a/crates/sidecar/src/frontend/connection.rs
+++ b/crates/sidecar/src/frontend/connection.rs
@@ -5,7 +5,7 @@
 use crate::counters::count;
 use crate::http::server::{Connection, Status, Step};
 use crate::lifecycle::LifecycleState;
-use crate::sockets::enable_nodelay;
+use crate::sockets::{enable_nodelay, limit_unsent};
 use crate::upload::{ReadTimeout, Upload};
 use cometcroft_platform::{Platform, Stream};
 use std::io;
@@ -29,6 +29,7 @@
         slot: &mut ConnectionSlot<T>,
     ) -> io::Result<()> {
         enable_nodelay(&stream);
+        limit_unsent(&stream);
         let mut connection = Connection::default();
         let connected = self.platform.now();
         let (mut since, mut is_first) = (connected, true);
--- a/crates/sidecar/src/sockets.rs
+++ b/crates/sidecar/src/sockets.rs
@@ -14,6 +14,16 @@
     let _ = stream.set_nodelay();
 }
 
+/// Bytes that the system holds for a client before it can send them. A client that reads 64 kB a second, the slowest that the
+/// protocol names, takes them within 2 s.
+const MAX_UNSENT_BYTES: u32 = 128 * 1024;
+
+/// Lets writes to a client make progress as it reads, however large the system's send buffer is. An error is ignored: without
+/// the limit only very slow clients of long responses are affected.
+pub fn limit_unsent<S: Stream>(stream: &S) {
+    let _ = stream.limit_unsent(MAX_UNSENT_BYTES);
+}
+
 /// Whether an accept failed for lack of a file descriptor, so that closing a connection helps. It does not help after a
 /// disconnected client (ECONNABORTED, EPROTO), a firewall rule (EPERM) or a lack of memory (ENOBUFS, ENOMEM).
 pub fn is_out_of_descriptors(error: &io::Error) -> bool {
--- a/crates/sidecar/tests/common/in_process.rs
+++ b/crates/sidecar/tests/common/in_process.rs
@@ -64,6 +64,10 @@
         Stream::set_nodelay(&self.0)
     }
 
+    fn limit_unsent(&self, bytes: u32) -> io::Result<()> {
+        Stream::limit_unsent(&self.0, bytes)
+    }
+
     fn is_idle(&self) -> bool {
         self.0.is_idle()
     }
--- a/crates/sidecar/tests/loopback.rs
+++ b/crates/sidecar/tests/loopback.rs
@@ -249,6 +249,43 @@
     });
 }
 
+/// A client that reads a long response slowly and without a pause: a write that waited for a third of the system's send buffer
+/// to be read took longer than a client may take no bytes, and the response was cut off.
+#[test]
+fn a_long_response_to_a_slow_steady_reader_is_not_cut_off() {
+    const LENGTH: usize = 10 << 20;
+    const SLOW_BYTES_PER_SECOND: usize = 96_000;
+    with_confirmed_sidecar(|sidecar| async move {
+        let mut client = TestConnection::to(&sidecar).await;
+        client.send(PLAN_REQUEST).await;
+        let mut endpoint = accept(&sidecar.endpoint).await;
+        endpoint.receive().await;
+        let writing = tokio::task::spawn_local(async move {
+            endpoint.send(&format!("HTTP/1.1 200 OK\r\nContent-Length: {LENGTH}\r\n\r\n")).await;
+            let piece = vec![b'x'; 64 * 1024];
+            for _ in 0..LENGTH / piece.len() {
+                if endpoint.0.write_all(&piece).await.is_err() {
+                    return;
+                }
+            }
+        });
+        let (mut received, begun) = (0, Tokio.now());
+        let mut buffer = vec![0; 64 * 1024];
+        while received < LENGTH {
+            // Longer than a client may take no bytes, then at full speed.
+            let is_slow = Tokio.since(begun) < std::time::Duration::from_secs(14);
+            let size = if is_slow { SLOW_BYTES_PER_SECOND / 20 } else { buffer.len() };
+            let read = client.0.read(&mut buffer[..size]).await.expect("the connection is not reset");
+            assert!(read > 0, "cut off after {received} bytes and {:?}", Tokio.since(begun));
+            received += read;
+            if is_slow {
+                Tokio.sleep(std::time::Duration::from_millis(50)).await;
+            }
+        }
+        writing.await.expect("no panic");
+    });
+}
+
 #[test]
 fn an_invalid_list_is_counted_and_the_last_one_kept() {
     with_sidecar(|sidecar| async move {
