Exchange: the rule on answers that come too soon is taken back, as sites fall by it

Cause: answers of light requests on used connections came in under a quarter of the fastest answer on a fresh one, and a fresh connection also costs its first request time. Each was taken for a copy and its request failed or ran again.

--- a/crates/sidecar/src/attempt.rs
+++ b/crates/sidecar/src/attempt.rs
@@ -2,8 +2,7 @@
 
 use crate::counters::count;
 use crate::exchange::{
-    Deadlines, EndpointResponse, ExchangeKind, Exchanger, NoResponse, Stage, outcome_without_response,
-    response_outcome,
+    Deadlines, EndpointResponse, Exchanger, NoResponse, Stage, outcome_without_response, response_outcome,
 };
 use crate::fleet::Fleet;
 use crate::http::client;
@@ -140,8 +139,8 @@
             stage.set(Stage::Written);
             self.exchanger.counters.request_stats.record_relayed(payload.class);
         };
-        let (kind, deadlines) = (ExchangeKind::Request, Deadlines { end, write_by });
-        let exchange = self.exchanger.run(to, kind, message, payload.upload.as_ref(), deadlines, written);
+        let exchange =
+            self.exchanger.run(to, message, payload.upload.as_ref(), Deadlines { end, write_by }, written);
         let result = platform.timeout_at(end, exchange).await;
         let no_response = |reason| {
             if reason == NoResponse::InvalidResponse {
--- a/crates/sidecar/src/endpoint_table.rs
+++ b/crates/sidecar/src/endpoint_table.rs
@@ -8,7 +8,6 @@
 use crate::discovery_connections::DiscoveryConnections;
 use crate::endpoint_list::{EndpointList, EndpointRecord};
 use crate::freshness::{Evidence, Freshness, NoEvidence};
-use crate::response_time::ResponseTime;
 use crate::start_clock::StartClock;
 use crate::zones::ZoneNumbers;
 use cometcroft::*;
@@ -29,7 +28,6 @@
     adjustment: WeightAdjustment,
     /// When the latest request that the endpoint has accepted since its start began.
     accepted: Option<Instant>,
-    response_time: ResponseTime,
 }
 
 impl Entry {
@@ -160,18 +158,6 @@
         }
     }
 
-    /// Records the time of a successful response on a connection that carried no response before.
-    pub fn record_response_time(&self, id: EndpointId, time: Duration) {
-        if let Some(entry) = self.entries.borrow_mut().get_mut(&id) {
-            entry.response_time.record(time);
-        }
-    }
-
-    /// Whether a successful response that took this long, on a connection that was used before, is the copy of an earlier one.
-    pub fn is_too_soon(&self, id: EndpointId, time: Duration) -> bool {
-        self.entries.borrow().get(&id).is_some_and(|entry| entry.response_time.is_too_soon(time))
-    }
-
     /// The version of the current list.
     pub fn version(&self) -> Option<i64> {
         self.version.get()
@@ -315,11 +301,8 @@
             let adjustment = self.adjustment(&record.name, &entry);
             if let Some(address) = record.address.or(entries.get(&id).map(|entry| entry.address)) {
                 let since_ms = record.since_ms;
-                let same_process = same.filter(|entry| entry.address == address);
-                let accepted = same_process.and_then(|entry| entry.accepted);
-                let response_time = same_process.map(|entry| entry.response_time).unwrap_or_default();
-                let listed = entry.clone();
-                entries.insert(id, Entry { address, since_ms, listed, adjustment, accepted, response_time });
+                let accepted = same.filter(|entry| entry.address == address).and_then(|entry| entry.accepted);
+                entries.insert(id, Entry { address, since_ms, listed: entry.clone(), adjustment, accepted });
             }
             if entry.state == EndpointState::Removed {
                 // Without this, the tables would grow with every endpoint that ever existed.
--- a/crates/sidecar/src/exchange.rs
+++ b/crates/sidecar/src/exchange.rs
@@ -95,7 +95,6 @@
     pub async fn run(
         &self,
         to: EndpointId,
-        kind: ExchangeKind,
         message: impl FnOnce() -> Bytes,
         upload: Option<&Upload>,
         Deadlines { end, write_by }: Deadlines,
@@ -140,9 +139,6 @@
         let response =
             read_response(self.pool.platform(), &mut connection.stream, &mut reader, READ_STALL_TIMEOUT)
                 .await?;
-        if kind == ExchangeKind::Request && response.status == 200 {
-            self.check_response_time(to, &connection, platform.since(started))?;
-        }
         self.endpoints.record_response(to, started, response.rejected(), platform.now());
         let is_streamed = response.streamed.is_some();
         if !is_streamed && reader.reusable() {
@@ -163,23 +159,6 @@
         Ok(EndpointResponse { response, remaining_body })
     }
 
-    /// Fails if a successful response came sooner than the endpoint can respond: it is the copy of an earlier one, and the
-    /// response to this request is still to come.
-    fn check_response_time(
-        &self,
-        to: EndpointId,
-        connection: &PooledConnection<P>,
-        time: Duration,
-    ) -> io::Result<()> {
-        if !connection.is_reused() {
-            self.endpoints.record_response_time(to, time);
-        } else if self.endpoints.is_too_soon(to, time) {
-            tracing::debug!(endpoint = %connection.address(), ?time, "response is the copy of an earlier one");
-            return Err(invalid_data(ParseError::Malformed));
-        }
-        Ok(())
-    }
-
     /// Waits until everything that discovery has sent is read: after a pause of this process, a notification
     /// and the connection for a request can become ready at the same time. Reading takes longer the longer the
     /// list is.
@@ -266,15 +245,6 @@
     NoticesUnread,
 }
 
-/// What an exchange is for.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ExchangeKind {
-    /// A client's request.
-    Request,
-    /// A probe, which endpoints answer sooner than any request.
-    Probe,
-}
-
 /// Time limits of an attempt.
 #[derive(Debug, Clone, Copy)]
 pub struct Deadlines {
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -31,7 +31,6 @@
 pub mod reload;
 pub mod request_stats;
 pub mod requests;
-pub mod response_time;
 pub mod settings_versions;
 pub mod sockets;
 pub mod start_clock;
--- a/crates/sidecar/src/pool.rs
+++ b/crates/sidecar/src/pool.rs
@@ -23,16 +23,10 @@
     /// The connection's stream.
     pub stream: P::Stream,
     address: SocketAddr,
-    is_reused: bool,
     _slot: PoolSlot<P>,
 }
 
 impl<P: Platform> PooledConnection<P> {
-    /// Whether the connection has carried a response before.
-    pub fn is_reused(&self) -> bool {
-        self.is_reused
-    }
-
     /// The endpoint's address.
     pub fn address(&self) -> SocketAddr {
         self.address
@@ -95,7 +89,7 @@
     ) -> io::Result<PooledConnection<P>> {
         if let Some(stream) = self.reuse(to, address) {
             count(&self.counters.backend_reused);
-            return Ok(PooledConnection { stream, address, is_reused: true, _slot: PoolSlot::take(self) });
+            return Ok(PooledConnection { stream, address, _slot: PoolSlot::take(self) });
         }
         if !self.has_room() && !self.close_longest_idle() {
             return Err(io::Error::other("too many connections"));
@@ -141,7 +135,7 @@
         self.attempt_delay.learn(self.platform.since(started));
         enable_nodelay(&stream);
         count(&self.counters.backend_connections);
-        Ok(PooledConnection { stream, address, is_reused: false, _slot: slot })
+        Ok(PooledConnection { stream, address, _slot: slot })
     }
 
     fn has_room(&self) -> bool {
--- a/crates/sidecar/src/probe.rs
+++ b/crates/sidecar/src/probe.rs
@@ -1,9 +1,7 @@
 //! Probes, which ask an endpoint for its load report.
 
 use crate::counters::count;
-use crate::exchange::{
-    Deadlines, EndpointResponse, ExchangeKind, Exchanger, NoResponse, Stage, outcome_without_response,
-};
+use crate::exchange::{Deadlines, EndpointResponse, Exchanger, NoResponse, Stage, outcome_without_response};
 use crate::http::client;
 use crate::requests::ProbeResult;
 use cometcroft::{EndpointId, LoadReport, Outcome};
@@ -24,12 +22,13 @@
     count(&exchanger.counters.probes);
     let platform = exchanger.pool.platform();
     let (stage, deadline) = (Cell::new(Stage::Unwritten), platform.now() + TIMEOUT);
-    let deadlines = Deadlines { end: deadline, write_by: None };
     let message = || client::encode_get("/metrics/load", "backend.local");
     let probed = match platform
         .timeout_at(
             deadline,
-            exchanger.run(to, ExchangeKind::Probe, message, None, deadlines, || stage.set(Stage::Written)),
+            exchanger.run(to, message, None, Deadlines { end: deadline, write_by: None }, || {
+                stage.set(Stage::Written)
+            }),
         )
         .await
     {
