Frontend: a connection that was just opened is not ended to make room

Callers would see: a first request, written 0.1 ms after its connection was accepted, meets its close unread, when descriptors run out and no connection rests. Cause: as the last choice Frontend::evict ended any connection on which nothing had arrived, however new. Change: only silent connections of 250 ms and more make room; the next client waits until there is one.

--- a/crates/sidecar/src/frontend/mod.rs
+++ b/crates/sidecar/src/frontend/mod.rs
@@ -32,8 +32,8 @@
 const FINAL_ACCEPT_MAX: Duration = Duration::from_millis(300);
 /// Delay after a failed accept.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(5);
-/// A connection on which nothing has arrived for this long since it was opened may be evicted before those that have
-/// been served.
+/// A connection on which nothing has arrived for this long since it was opened is evicted before those that have been
+/// served. Until then its first request may be on the way.
 const SILENT_AGE: Duration = Duration::from_millis(250);
 /// Time for which a client may send the head of a request before it is evicted: 2 s by the protocol, and a margin.
 const MAX_HEAD_TIME: Duration = Duration::from_millis(2100);
@@ -215,8 +215,7 @@
         let silent = |state| matches!(state, WaitingState::Silent(since) if older(since, SILENT_AGE));
         let ticket = oldest(&overdue)
             .or_else(|| oldest(&silent))
-            .or_else(|| oldest(&|state| state == WaitingState::Resting))
-            .or_else(|| oldest(&|state| matches!(state, WaitingState::Silent(_))));
+            .or_else(|| oldest(&|state| state == WaitingState::Resting));
         if let Some(waiting) = ticket.and_then(|ticket| waiting.remove(&ticket)) {
             count(&self.counters.frontend_evicted);
             waiting.wake.notify_one();
