Review case 6: a late second copy passes for the answer to another request

Cause: a connection to an endpoint that has rested for 5 ms and is quiet is given the next request (`MIN_REST`, `reuse` in pool.rs); a copy of the answer before that comes after that is read as the answer to it.

--- a/review/cases-2/src/main.rs
+++ b/review/cases-2/src/main.rs
@@ -2,6 +2,7 @@
 //! the rule was broken, with 0 if it held, and with 2 if the case could not run.
 
 mod budgets;
+mod copies;
 mod http;
 mod json;
 mod plans;
@@ -33,6 +34,7 @@
             "clear-leaving" => plans::clear(&run, plans::Trouble::Leaving),
             "clear-restart" => plans::clear(&run, plans::Trouble::Restart),
             "same-id" => plans::same_id(&run),
+            "copies" => copies::copies(&run),
             "pushed" => pushed::pushed(&run),
             other => Err(format!("there is no case {other}")),
         }
